--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,111 @@
+package choice
+
+import (
+	"gullrail/front"
+	"gullrail/internal/pcg"
+	"gullrail/internal/slab"
+)
+
+// Front is what one front end knows. Settings stay as they were given.
+type Front struct {
+	set     map[string][]float64
+	rnd     pcg.Source
+	nodes   []node
+	racks   []rack
+	kinds   []kind
+	plays   slab.Slab[ply]
+	waiting []front.Handle
+	viewers []viewer
+	seats   []int32 // plays held, by title and product
+	taken   []int64 // when plays were taken, within the budget's window
+	again   []int64 // when further allocations were made, within the same
+	samples int     // |W|
+	probes  float64 // probes that may be sent now
+	res     front.Result
+}
+
+// kind is a kind of node and its payoffs.
+type kind struct {
+	count int
+	sum   float64
+}
+
+// node is a playout node.
+type node struct {
+	listed    bool
+	phase     front.Phase
+	kind      int
+	zone      int
+	cell      int
+	rack      int
+	started   int64
+	weight    float64
+	plays     []front.Handle
+	own       float64 // rates of own plays, kB a second
+	link      account
+	share     float64 // last share told while short; 1 otherwise
+	shareAt   int64
+	shortFrom int64 // since when it is short; 0 is not
+	cutAt     int64 // last step-down here
+	raisedAt  int64 // last step-up here
+	shedAt    int64 // last play moved away
+	fails     int   // symptoms in a row
+	skipUntil int64
+	trial     bool // on probation: one set-up at a time
+	settingUp int
+	lostAt    int64 // last seen to break
+	backAt    int64 // first play after that
+	slot      int64 // last cold slot used
+	probedAt  int64
+	probing   bool
+}
+
+// rack is a rack and its uplink.
+type rack struct {
+	own       float64
+	link      account
+	shortFrom int64
+	shortAt   int64
+}
+
+// account is the last figure told of a link and what the front itself has changed since.
+type account struct {
+	at    int64 // 0 is never
+	asked float64
+	own   float64 // own rates that the figure holds
+}
+
+// stage is how far a play has come.
+type stage uint8
+
+const (
+	held stage = iota
+	settingUp
+	playing
+	deserted // the viewer left, an allocation is still out
+)
+
+// ply is a play in hand.
+type ply struct {
+	want      front.Want
+	stage     stage
+	node      int
+	rung      int
+	try       int // number of the last allocation; -1 is none
+	mayHave   bool
+	taken     int64
+	sent      int64
+	started   int64
+	changed   int64 // last change of rung
+	sampled   bool
+	avoid     int   // node of its last failure, from 1; 0 is none
+	holdUntil int64 // held no longer than this
+}
+
+// viewer is what outlasts a play: a viewer's key comes again with a new play.
+type viewer struct {
+	left    int // node left or failed, from 1; 0 is none
+	leftAt  int64
+	moved   bool
+	movedAt int64
+}
--- /dev/null
+++ b/cmd/drill/main.go
@@ -0,0 +1,16 @@
+// Command drill runs the decision module on the bench's wire.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"gullrail/internal/heath"
+)
+
+func main() {
+	if err := heath.Run(os.Stdin, os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "drill:", err)
+		os.Exit(1)
+	}
+}
