--- a/choice/choice.go
+++ b/choice/choice.go
@@ -45,7 +45,7 @@
 	firstShare = 0.5       // of the time to the first-frame target an allocation may take, leaving one more
 	holdShare  = 0.4       // of the time to the first-frame target a play may wait for a cold node's turn
 	coldMargin = 1.3       // how far under the cold allowance all fronts together stay
-	blindHold  = 4000 * ms // a play's length where none is told counts as this much left at least
+	leastLeft  = 10 * sec  // an untold length: as much is left as has played, this at least
 	doubleAt   = 1         // failures in a row after which a node's skip has doubled fully
 	budgetEdge = 20 * ms   // kept clear at either end of the budget's window
 	swapGain   = 2.0       // a change of rung must earn this many times its price
@@ -639,7 +639,7 @@
 			continue
 		}
 		more := f.rate(p, p.rung+1) - f.rate(p, p.rung)
-		left := blindHold
+		left := max(leastLeft, now-p.started)
 		if p.want.Length > 0 {
 			left = max(0, p.taken+p.want.Length-now)
 		}
