Take the last step of a cut by chance, by the part still needed

Cause: every front rounded its cut up to a whole rung, so a small excess cost as many steps as there are fronts and the next check stepped them up again.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -618,6 +618,10 @@
 			return
 		}
 		n.cutAt = now
+		freed := f.rate(best, best.rung) - f.rate(best, best.rung-1)
+		if f.rnd.Float()*freed > n.own-goal { // the last step only by its part: all fronts cut at once
+			return
+		}
 		f.setRung(now, pick, best, best.rung-1)
 	}
 }
