Over mark at 1.00 and cuts to 0.92

Cause: reports are 4 to 14% noisy, so a link truly under 0.9 often read over 0.95, and cuts under the room mark were stepped up again at once.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,8 +31,8 @@
 	upEvery   = 10 * sec // a play steps up no sooner after its last change
 
 	// Ours, where the design is silent.
-	overMark   = 0.95      // asked over given: steps down begin; full links stall from 0.98
-	cutTo      = 0.88      // asked over given that a step-down aims at: just above roomMark, no see-saw
+	overMark   = 1.00      // asked over given: steps down begin; full links stall from 0.98
+	cutTo      = 0.92      // asked over given that a step-down aims at: just above roomMark, no see-saw
 	shortUnder = 0.98      // share of rate: below it a play loses worth
 	nearRoom   = 0.1       // share of the room: holders this near the most are equals, drawn at random
 	wakeEvery  = 200 * ms  // pace of checks: well under a second, cheap
