Step up by this front's part of the room, adopted plays at once

Cause: plays handed over start at rung 0 and rose one a node and second by a draw, while new plays took top rungs. Change: every fresh report lets each front share out its part of the room, lowest rungs first by worth per rate.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -139,7 +139,7 @@
 		f.nodes = append(f.nodes, node{share: 1, slot: -1})
 	}
 	p.try, p.stage, p.started = 0, playing, now
-	p.rung = f.floor(p)
+	p.rung, p.changed = f.floor(p), now-upEvery
 	f.bind(h, p, at)
 	return h, f.end(now)
 }
@@ -630,38 +630,45 @@
 func (f *Front) raise(now int64, at int) {
 	n := &f.nodes[at]
 	quiet := int64(f.val("note.lag")) + settle
-	if f.shareNow(now, at) < 1 || now-n.cutAt < quiet && n.cutAt > 0 || now-n.raisedAt < settle {
+	if f.shareNow(now, at) < 1 || now-n.cutAt < quiet && n.cutAt > 0 ||
+		now-n.raisedAt < quiet && n.link.at <= n.raisedAt {
 		return
 	}
 	room := f.room(now, at)
-	var pick front.Handle
-	var best *ply
-	most := 0.0
-	for _, h := range n.plays {
-		p := f.plays.Get(h)
-		if p.stage != playing || p.rung >= f.top(p) || now-p.changed < upEvery {
-			continue
+	part := room / max(1, f.val("fronts")) // all fronts see the same room: each takes its part
+	for part > 0 {
+		var pick front.Handle
+		var best *ply
+		most := 0.0
+		for _, h := range n.plays {
+			p := f.plays.Get(h)
+			if p.stage != playing || p.rung >= f.top(p) || now-p.changed < upEvery {
+				continue
+			}
+			more := f.rate(p, p.rung+1) - f.rate(p, p.rung)
+			left := max(leastLeft, now-p.started)
+			if p.want.Length > 0 {
+				left = max(0, p.taken+p.want.Length-now)
+			}
+			g := f.gain(p, p.rung+1)
+			price := f.val("switch.seconds") * f.of("product.importance", p.want.Product, 1)
+			if more <= room && g/more > most && g*float64(left)/float64(sec) > swapGain*price {
+				most, pick, best = g/more, h, p
+			}
 		}
-		more := f.rate(p, p.rung+1) - f.rate(p, p.rung)
-		left := max(leastLeft, now-p.started)
-		if p.want.Length > 0 {
-			left = max(0, p.taken+p.want.Length-now)
+		if best == nil {
+			return
 		}
-		g := f.gain(p, p.rung+1)
-		price := f.val("switch.seconds") * f.of("product.importance", p.want.Product, 1)
-		if more <= room && g/more > most && g*float64(left)/float64(sec) > swapGain*price {
-			most, pick, best = g/more, h, p
+		if f.val("probing") > 0 && now-n.link.at > freshFor {
+			f.probe(now, at)
+			return
 		}
-	}
-	if best == nil {
-		return
-	}
-	if f.val("probing") > 0 && now-n.link.at > freshFor {
-		f.probe(now, at)
-		return
-	}
-	if f.rnd.Float()*f.val("fronts") < 1 { // all fronts see the same room: not all at once
 		n.raisedAt = now
+		more := f.rate(best, best.rung+1) - f.rate(best, best.rung)
+		if f.rnd.Float()*more > part { // a step larger than the part left is taken by chance
+			return
+		}
+		part, room = part-more, room-more
 		f.setRung(now, pick, best, best.rung+1)
 	}
 }
