Decline on links known full of plays on their floors; probes for steps up unrationed

Cause: where every play stands on its floor one more costs all there more than it earns, yet the least used node was always taken.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,6 +32,8 @@
 
 	// Ours, where the design is silent.
 	overMark   = 1.00      // asked over given: steps down begin; full links stall from 0.98
+	fullMark   = 1.0       // asked over given: past it a play more costs all there more than it earns
+	fullFor    = 4000 * ms // a figure older than this turns nobody away
 	cutTo      = 0.92      // asked over given that a step-down aims at: just above roomMark, no see-saw
 	shortUnder = 0.98      // share of rate: below it a play loses worth
 	nearRoom   = 0.1       // share of the room: holders this near the most are equals, drawn at random
@@ -336,7 +338,7 @@
 	f.res.Orders = append(f.res.Orders, front.Order{Play: h, Do: front.Place, Node: at, Rung: p.rung,
 		Until: f.until(now, p)})
 	if now-n.link.at > freshFor {
-		f.probe(now, at)
+		f.probe(now, at, perPlay)
 	}
 }
 
@@ -397,7 +399,11 @@
 			turn = turn || f.holds(i, p) && f.healthy(now, i) && !f.pace(now, i)
 			continue
 		}
-		used := max(f.linkAsked(now, i), f.uplinkAsked(now, f.nodes[i].rack))
+		used := f.used(now, i)
+		if f.full(now, i, used, need) {
+			f.probe(now, i, perPlay)
+			continue
+		}
 		if !usable(i) {
 			used += 100
 		}
@@ -408,7 +414,7 @@
 	if pick < 0 && !turn && !f.paid(p) {
 		for i := range f.nodes { // only sick ones hold it: better a try than none
 			if f.holds(i, p) && f.pace(now, i) && f.nodes[i].settingUp == 0 && p.avoid != i+1 {
-				if a := f.linkAsked(now, i); a < least {
+				if a := f.used(now, i); a < least && !f.full(now, i, a, need) {
 					least, pick = a, i
 				}
 			}
@@ -417,6 +423,29 @@
 	return pick, turn
 }
 
+// used is how much is asked of a node's link or uplink, whichever is more, or has been told short.
+func (f *Front) used(now int64, at int) float64 {
+	return max(f.linkAsked(now, at), f.uplinkAsked(now, f.nodes[at].rack), 1/f.shareNow(now, at))
+}
+
+// full tells that one play more would cost all plays there more than it earns: the link was lately
+// known to be all asked for, and own plays there cannot step down to make the room. Guards against
+// a crowd piling on links where all stand on their floors; harms if a figure is wrong for long, so
+// an old one does not count.
+func (f *Front) full(now int64, at int, used, need float64) bool {
+	n := &f.nodes[at]
+	known := max(n.link.at, f.racks[n.rack].link.at, n.shareAt)
+	if used+need/f.capacity(now, at) <= fullMark || now-known > fullFor || known == 0 {
+		return false
+	}
+	for _, h := range n.plays {
+		if p := f.plays.Get(h); p.stage == playing {
+			need -= f.rate(p, p.rung) - f.rate(p, f.floor(p))
+		}
+	}
+	return need > 0
+}
+
 // holds tells that a node is ready and holds the title.
 func (f *Front) holds(at int, p *ply) bool {
 	n := &f.nodes[at]
@@ -493,6 +522,9 @@
 func (f *Front) room(now int64, at int) float64 {
 	link := (roomMark - f.linkAsked(now, at)) * f.capacity(now, at)
 	up := (roomMark - f.uplinkAsked(now, f.nodes[at].rack)) * f.uplink()
+	if s := f.shareNow(now, at); s < 1 {
+		link = min(link, (roomMark-1/s)*f.capacity(now, at))
+	}
 	return min(link, up)
 }
 
@@ -528,12 +560,12 @@
 }
 
 // probe asks a node for its load, as far as probes are earned.
-func (f *Front) probe(now int64, at int) {
+func (f *Front) probe(now int64, at int, cost float64) {
 	n := &f.nodes[at]
-	if f.val("probing") == 0 || f.probes < 1 || n.probing || now-n.probedAt < settle && n.probedAt > 0 {
+	if f.val("probing") == 0 || f.probes < cost || n.probing || now-n.probedAt < settle && n.probedAt > 0 {
 		return
 	}
-	f.probes--
+	f.probes -= cost
 	n.probing, n.probedAt = true, now
 	f.res.Probes = append(f.res.Probes, at)
 }
@@ -660,7 +692,7 @@
 			return
 		}
 		if f.val("probing") > 0 && now-n.link.at > freshFor {
-			f.probe(now, at)
+			f.probe(now, at, 0) // a step up earns many times a probe's price
 			return
 		}
 		n.raisedAt = now
