--- a/choice/choice.go
+++ b/choice/choice.go
@@ -31,26 +31,28 @@
 	upEvery   = 10 * sec // a play steps up no sooner after its last change
 
 	// Ours, where the design is silent.
-	overMark   = 1.00      // asked over given: steps down begin; full links stall from 0.98
-	fullMark   = 1.0       // asked over given: past it a play more costs all there more than it earns
-	fullFor    = 4000 * ms // a figure older than this turns nobody away
-	cutTo      = 0.92      // asked over given that a step-down aims at: just above roomMark, no see-saw
-	shortUnder = 0.98      // share of rate: below it a play loses worth
-	nearRoom   = 0.1       // share of the room: holders this near the most are equals, drawn at random
-	wakeEvery  = 200 * ms  // pace of checks: well under a second, cheap
-	settle     = 1000 * ms // beyond the notes' lag: time for a cut to show before the next
-	shortHolds = 1500 * ms // a short note, due each second, counts this long past its lag
-	freshFor   = 1500 * ms // a report older than this is asked again before a step up
-	reportLag  = 600 * ms  // a report may lack what was set up this short before it
-	perPlay    = 1.0       // probes earned by each play taken: keeps their price near its unit
-	probeStore = 20        // probes saved up at most: one look at a fleet
-	firstShare = 0.5       // of the time to the first-frame target an allocation may take, leaving one more
-	holdShare  = 0.4       // of the time to the first-frame target a play may wait for a cold node's turn
-	coldMargin = 1.3       // how far under the cold allowance all fronts together stay
-	leastLeft  = 10 * sec  // an untold length: as much is left as has played, this at least
-	doubleAt   = 1         // failures in a row after which a node's skip has doubled fully
-	budgetEdge = 20 * ms   // kept clear at either end of the budget's window
-	swapGain   = 2.0       // a change of rung must earn this many times its price
+	overMark    = 1.00      // asked over given: steps down begin; full links stall from 0.98
+	fullMark    = 1.0       // asked over given: past it a play more costs all there more than it earns
+	fullFor     = 4000 * ms // a figure older than this turns nobody away
+	refusedFor  = 1000 * ms // a node that refused as full is not asked again so soon, doubled for each in a row
+	refusedMost = 2         // doublings: 4 s, as long as late reports go on calling it empty
+	cutTo       = 0.92      // asked over given that a step-down aims at: just above roomMark, no see-saw
+	shortUnder  = 0.98      // share of rate: below it a play loses worth
+	nearRoom    = 0.1       // share of the room: holders this near the most are equals, drawn at random
+	wakeEvery   = 200 * ms  // pace of checks: well under a second, cheap
+	settle      = 1000 * ms // beyond the notes' lag: time for a cut to show before the next
+	shortHolds  = 1500 * ms // a short note, due each second, counts this long past its lag
+	freshFor    = 1500 * ms // a report older than this is asked again before a step up
+	reportLag   = 600 * ms  // a report may lack what was set up this short before it
+	perPlay     = 1.0       // probes earned by each play taken: keeps their price near its unit
+	probeStore  = 20        // probes saved up at most: one look at a fleet
+	firstShare  = 0.5       // of the time to the first-frame target an allocation may take, leaving one more
+	holdShare   = 0.4       // of the time to the first-frame target a play may wait for a cold node's turn
+	coldMargin  = 1.3       // how far under the cold allowance all fronts together stay
+	leastLeft   = 10 * sec  // an untold length: as much is left as has played, this at least
+	doubleAt    = 1         // failures in a row after which a node's skip has doubled fully
+	budgetEdge  = 20 * ms   // kept clear at either end of the budget's window
+	swapGain    = 2.0       // a change of rung must earn this many times its price
 )
 
 // New makes a front from its settings, a map of names to numbers, and a seed.
@@ -153,7 +155,7 @@
 		p.stage, p.started, p.changed = playing, now, now
 		n := &f.nodes[p.node]
 		n.settingUp--
-		n.fails, n.trial = 0, false
+		n.fails, n.trial, n.refusals = 0, false, 0
 		if n.lostAt > n.started && n.backAt < n.lostAt {
 			n.backAt, n.slot = now, -1 // back, and cold again whatever the list says
 		}
@@ -363,7 +365,7 @@
 	best := math.Inf(-1)
 	v := f.viewers[p.want.Viewer]
 	usable := func(i int) bool {
-		return f.takes(now, i, p) && p.avoid != i+1 && !(v.left == i+1 && now-v.leftAt < skipFor)
+		return f.takes(now, i, p) && now >= f.nodes[i].refuseUntil && p.avoid != i+1 && !(v.left == i+1 && now-v.leftAt < skipFor)
 	}
 	need := f.rate(p, f.floor(p))
 	for i := range f.nodes {
@@ -402,6 +404,7 @@
 		used := f.used(now, i)
 		if f.full(now, i, used, need) {
 			f.probe(now, i, perPlay)
+			turn = true
 			continue
 		}
 		if !usable(i) {
@@ -435,6 +438,9 @@
 func (f *Front) full(now int64, at int, used, need float64) bool {
 	n := &f.nodes[at]
 	known := max(n.link.at, f.racks[n.rack].link.at, n.shareAt)
+	if now < n.refuseUntil {
+		return true
+	}
 	if used+need/f.capacity(now, at) <= fullMark || now-known > fullFor || known == 0 {
 		return false
 	}
@@ -753,7 +759,9 @@
 	n := &f.nodes[at]
 	switch how {
 	case front.TurnedAway:
-		n.link = account{now, max(1, f.linkAsked(now, at)), n.own}
+		n.refuseUntil = now + refusedFor<<min(n.refusals, refusedMost)
+		n.refusals++
+		f.cut(now, at, max(f.linkAsked(now, at), fullMark), 0)
 	case front.NoConnect, front.Lost:
 		f.broke(now, at)
 	case front.Errored, front.NoAnswer:
--- a/choice/state.go
+++ b/choice/state.go
@@ -32,32 +32,34 @@
 
 // node is a playout node.
 type node struct {
-	listed    bool
-	phase     front.Phase
-	kind      int
-	zone      int
-	cell      int
-	rack      int
-	started   int64
-	weight    float64
-	plays     []front.Handle
-	own       float64 // rates of own plays, kB a second
-	link      account
-	share     float64 // last share told while short; 1 otherwise
-	shareAt   int64
-	shortFrom int64 // since when it is short; 0 is not
-	cutAt     int64 // last step-down here
-	raisedAt  int64 // last step-up here
-	shedAt    int64 // last play moved away
-	fails     int   // symptoms in a row
-	skipUntil int64
-	trial     bool // on probation: one set-up at a time
-	settingUp int
-	lostAt    int64 // last seen to break
-	backAt    int64 // first play after that
-	slot      int64 // last cold slot used
-	probedAt  int64
-	probing   bool
+	listed      bool
+	phase       front.Phase
+	kind        int
+	zone        int
+	cell        int
+	rack        int
+	started     int64
+	weight      float64
+	plays       []front.Handle
+	own         float64 // rates of own plays, kB a second
+	link        account
+	share       float64 // last share told while short; 1 otherwise
+	shareAt     int64
+	shortFrom   int64 // since when it is short; 0 is not
+	cutAt       int64 // last step-down here
+	raisedAt    int64 // last step-up here
+	shedAt      int64 // last play moved away
+	fails       int   // symptoms in a row
+	skipUntil   int64
+	trial       bool // on probation: one set-up at a time
+	settingUp   int
+	refusals    int // refused as full so often in a row
+	refuseUntil int64
+	lostAt      int64 // last seen to break
+	backAt      int64 // first play after that
+	slot        int64 // last cold slot used
+	probedAt    int64
+	probing     bool
 }
 
 // rack is a rack and its uplink.
