--- a/choice/choice.go
+++ b/choice/choice.go
@@ -57,7 +57,7 @@
 
 // New makes a front from its settings, a map of names to numbers, and a seed.
 func New(set map[string][]float64, seed uint64) *Front {
-	f := &Front{set: set, rnd: pcg.New(seed), probes: probeStore}
+	f := &Front{level: math.Inf(1), set: set, rnd: pcg.New(seed), probes: probeStore}
 	f.racks = make([]rack, max(1, int(f.val("racks"))))
 	f.kinds = make([]kind, len(set["kind.streams"]))
 	return f
--- a/choice/state.go
+++ b/choice/state.go
@@ -21,6 +21,7 @@
 	again   []int64 // when further allocations were made, within the same
 	samples int     // |W|
 	probes  float64 // probes that may be sent now
+	level   float64 // mean rung of own plays that could still rise
 	res     front.Result
 }
 
