Space rungs: none starts or steps up over 1.5 above the mean that could rise

Cause: the first plays took the highest rungs that fit and later ones stayed at the bottom, though a rung there earns several times as much for its rate. The design leaves rung spacing open; highest rung under the mark stays the rule within it. It could harm a front whose plays are few and low by chance: its newcomers then start a rung lower.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,6 +36,7 @@
 	fullFor     = 4000 * ms // a figure older than this turns nobody away
 	refusedFor  = 1000 * ms // a node that refused as full is not asked again so soon, doubled for each in a row
 	refusedMost = 2         // doublings: 4 s, as long as late reports go on calling it empty
+	rungSpacing = 1.5       // rungs: how far over the mean of plays that could still rise others may stand
 	cutTo       = 0.92      // asked over given that a step-down aims at: just above roomMark, no see-saw
 	shortUnder  = 0.98      // share of rate: below it a play loses worth
 	nearRoom    = 0.1       // share of the room: holders this near the most are equals, drawn at random
@@ -275,12 +276,23 @@
 			f.place(now, h, p)
 		}
 	}
+	below, sum := 0, 0
 	for i := range f.plays.Len() {
 		_, p := f.plays.At(i)
-		if p != nil && p.stage == playing && !p.sampled && now-p.started >= payoffAt {
+		if p == nil || p.stage != playing {
+			continue
+		}
+		if !p.sampled && now-p.started >= payoffAt {
 			p.sampled = true
 			f.sample(f.nodes[p.node].kind, 2*f.shareNow(now, p.node)-1)
 		}
+		if p.rung < f.top(p) {
+			below, sum = below+1, sum+p.rung
+		}
+	}
+	f.level = math.Inf(1)
+	if below > 0 {
+		f.level = float64(sum) / float64(below)
 	}
 	for at := range f.nodes {
 		if n := &f.nodes[at]; len(n.plays) > 0 {
@@ -537,7 +549,7 @@
 // fit is the highest rung that the room takes, with what the play itself holds there given back.
 func (f *Front) fit(now int64, at int, p *ply, back float64) int {
 	room := f.room(now, at) + back
-	r := f.top(p)
+	r := max(f.floor(p), min(f.top(p), f.reach()))
 	for r > f.floor(p) && f.rate(p, r) > room {
 		r--
 	}
@@ -594,6 +606,11 @@
 	}
 }
 
+// reach is the highest rung that a play may step up to or start at: rungSpacing over the mean of
+// the plays that could still rise. A rung more earns several times as much low on the ladder as
+// high on it for the same rate, so the first to come must not fill the links.
+func (f *Front) reach() int { return int(min(100, f.level+rungSpacing)) }
+
 func (f *Front) rerate(p *ply, rung int) {
 	more := f.rate(p, rung) - f.rate(p, p.rung)
 	n := &f.nodes[p.node]
@@ -680,7 +697,7 @@
 		most := 0.0
 		for _, h := range n.plays {
 			p := f.plays.Get(h)
-			if p.stage != playing || p.rung >= f.top(p) || now-p.changed < upEvery {
+			if p.stage != playing || p.rung >= min(f.top(p), f.reach()) || now-p.changed < upEvery {
 				continue
 			}
 			more := f.rate(p, p.rung+1) - f.rate(p, p.rung)
