Own zone first among holders that give the same rung

Cause: half the plays at cluj crossed rooms, which has a price and breaks them when a room is cut off.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,7 @@
 	refusedFor  = 1000 * ms // a node that refused as full is not asked again so soon, doubled for each in a row
 	refusedMost = 2         // doublings: 4 s, as long as late reports go on calling it empty
 	rungSpacing = 1.5       // rungs: how far over the mean of plays that could still rise others may stand
+	farCost     = 0.1       // asked over given: a node of another zone counts as this much fuller when none has room
 	cutTo       = 0.92      // asked over given that a step-down aims at: just above roomMark, no see-saw
 	shortUnder  = 0.98      // share of rate: below it a play loses worth
 	nearRoom    = 0.1       // share of the room: holders this near the most are equals, drawn at random
@@ -386,17 +387,25 @@
 		}
 	}
 	if !math.IsInf(best, -1) {
-		// Pass 1 finds the most room, pass 2 draws among those as good.
-		most, ties, pick := 0.0, 0, -1
-		for pass := range 2 {
+		// Pass 1 finds the rung that the most room gives, pass 2 whether one of the own zone gives it
+		// too, pass 3 the most room there, pass 4 draws among those as good.
+		most, ties, pick, rung, near := 0.0, 0, -1, 0, false
+		for pass := range 4 {
 			for i := range f.nodes {
 				room := f.room(now, i)
 				if !usable(i) || room < need || !explore && f.mean(f.nodes[i].kind) < best-tieWidth {
 					continue
 				}
-				if pass == 0 {
+				own := f.ownZone(i) && f.fit(now, i, p, 0) >= rung
+				switch {
+				case pass == 0:
+					rung = max(rung, f.fit(now, i, p, 0))
+				case pass == 1:
+					near = near || own
+				case near && !own:
+				case pass == 2:
 					most = max(most, room)
-				} else if explore || room >= most*(1-nearRoom) {
+				case explore || room >= most*(1-nearRoom):
 					if ties++; f.rnd.Below(ties) == 0 {
 						pick = i
 					}
@@ -422,6 +431,9 @@
 		if !usable(i) {
 			used += 100
 		}
+		if !f.ownZone(i) {
+			used += farCost
+		}
 		if used < least {
 			least, pick = used, i
 		}
@@ -464,6 +476,13 @@
 	return need > 0
 }
 
+// ownZone tells that placing a play at a node crosses no zones. Among holders that give the same
+// rung it comes first: crossing has a price where one is set, and a cut between zones breaks plays.
+func (f *Front) ownZone(at int) bool {
+	z, told := f.set["zone"]
+	return !told || f.nodes[at].zone == int(z[0])
+}
+
 // holds tells that a node is ready and holds the title.
 func (f *Front) holds(at int, p *ply) bool {
 	n := &f.nodes[at]
