Count the ten seconds between steps up from the last step up

Cause: after a short fall every play stepped down and none could rise for 10 s though links stood at 0.45. The design limits steps up to one in 10 s; a step down no longer restarts that.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -133,7 +133,7 @@
 		f.viewers = append(f.viewers, viewer{})
 	}
 	h, p := f.plays.Add()
-	*p = ply{want: w, try: -1, taken: now, changed: now}
+	*p = ply{want: w, try: -1, taken: now, raised: now - upEvery}
 	return h, p
 }
 
@@ -145,7 +145,7 @@
 		f.nodes = append(f.nodes, node{share: 1, slot: -1})
 	}
 	p.try, p.stage, p.started = 0, playing, now
-	p.rung, p.changed = f.floor(p), now-upEvery
+	p.rung = f.floor(p)
 	f.bind(h, p, at)
 	return h, f.end(now)
 }
@@ -154,7 +154,7 @@
 func (f *Front) Started(now int64, h front.Handle, try int, took int64) *front.Result {
 	f.begin()
 	if p := f.plays.Get(h); p != nil && p.stage == settingUp && p.try == try {
-		p.stage, p.started, p.changed = playing, now, now
+		p.stage, p.started = playing, now
 		n := &f.nodes[p.node]
 		n.settingUp--
 		n.fails, n.trial, n.refusals = 0, false, 0
@@ -619,8 +619,10 @@
 // setRung changes a play's rung and orders it.
 func (f *Front) setRung(now int64, h front.Handle, p *ply, rung int) {
 	if rung != p.rung {
+		if rung > p.rung {
+			p.raised = now
+		}
 		f.rerate(p, rung)
-		p.changed = now
 		f.res.Orders = append(f.res.Orders, front.Order{Play: h, Do: front.SetRung, Rung: rung})
 	}
 }
@@ -716,7 +718,7 @@
 		most := 0.0
 		for _, h := range n.plays {
 			p := f.plays.Get(h)
-			if p.stage != playing || p.rung >= min(f.top(p), f.reach()) || now-p.changed < upEvery {
+			if p.stage != playing || p.rung >= min(f.top(p), f.reach()) || now-p.raised < upEvery {
 				continue
 			}
 			more := f.rate(p, p.rung+1) - f.rate(p, p.rung)
--- a/choice/state.go
+++ b/choice/state.go
@@ -99,7 +99,7 @@
 	taken     int64
 	sent      int64
 	started   int64
-	changed   int64 // last change of rung
+	raised    int64 // last step up
 	sampled   bool
 	avoid     int   // node of its last failure, from 1; 0 is none
 	holdUntil int64 // held no longer than this
