--- a/choice/choice.go
+++ b/choice/choice.go
@@ -36,7 +36,7 @@
 	fullFor     = 4000 * ms // a figure older than this turns nobody away
 	refusedFor  = 1000 * ms // a node that refused as full is not asked again so soon, doubled for each in a row
 	refusedMost = 2         // doublings: 4 s, as long as late reports go on calling it empty
-	rungSpacing = 1.0       // rungs: how far over the mean of plays that could still rise others may stand
+	rungSpacing = 1.2       // rungs: how far over the mean of plays that could still rise others may stand
 	farCost     = 0.1       // asked over given: a node of another zone counts as this much fuller when none has room
 	cutTo       = 0.92      // asked over given that a step-down aims at: just above roomMark, no see-saw
 	shortUnder  = 0.98      // share of rate: below it a play loses worth
@@ -54,7 +54,7 @@
 	leastLeft   = 10 * sec  // an untold length: as much is left as has played, this at least
 	doubleAt    = 1         // failures in a row after which a node's skip has doubled fully
 	budgetEdge  = 20 * ms   // kept clear at either end of the budget's window
-	swapGain    = 4.0       // a change of rung must earn this many times its price
+	swapGain    = 3.0       // a change of rung must earn this many times its price
 )
 
 // New makes a front from its settings, a map of names to numbers, and a seed.
