Infer an uplink nobody reports from links that go short together

Cause: the uplink of one of two racks was the limit; its links read 0.7 asked and delivered 0.93. Told from slow links by the same share on all nodes of the rack while their reports stayed under 1. Change: such a share sets what the uplink gives, regained with time. Should also catch a rack switch shared with other traffic; could harm where two sick links of one rack happen to be short alike: the rack then takes less for some 10 s.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -38,6 +38,8 @@
 	refusedMost = 2         // doublings: 4 s, as long as late reports go on calling it empty
 	rungSpacing = 1.2       // rungs: how far over the mean of plays that could still rise others may stand
 	farCost     = 0.1       // asked over given: a node of another zone counts as this much fuller when none has room
+	regain      = 25 * sec  // an uplink seen short counts as giving twice as much again after this, slowly at first
+	alike       = 0.1       // shares this near tell of one cause
 	cutTo       = 0.92      // asked over given that a step-down aims at: just above roomMark, no see-saw
 	shortUnder  = 0.98      // share of rate: below it a play loses worth
 	nearRoom    = 0.1       // share of the room: holders this near the most are equals, drawn at random
@@ -519,11 +521,18 @@
 	return f.val("weight.rate") * f.nodes[at].weight * f.warmth(now, at)
 }
 
-func (f *Front) uplink() float64 {
-	if u := f.val("uplink.rate"); u > 0 {
-		return u
+// uplink is what a rack's uplink gives: the mean told, or less once the rack was seen short, and
+// from then on more again with time, as nobody tells of a sag's end.
+func (f *Front) uplink(now int64, rk int) float64 {
+	u := math.Inf(1)
+	if told := f.val("uplink.rate"); told > 0 {
+		u = told
 	}
-	return math.Inf(1)
+	if r := &f.racks[rk]; r.givenAt > 0 {
+		age := float64(now-r.givenAt) / float64(regain)
+		u = min(u, r.given*(1+age*age))
+	}
+	return u
 }
 
 // asked is the account of a link: own plays, or the last figure told and own changes since.
@@ -542,23 +551,51 @@
 // uplinkAsked is the account of a rack's uplink: told, or else added up over the rack's links.
 func (f *Front) uplinkAsked(now int64, rk int) float64 {
 	r := &f.racks[rk]
-	a := asked(&r.link, r.own, f.uplink())
+	a := asked(&r.link, r.own, f.uplink(now, rk))
 	if f.val("reports.uplink") > 0 {
 		return a
 	}
+	return max(a, f.rackSum(now, rk)/f.uplink(now, rk))
+}
+
+// rackSum adds up what is asked of a rack's links, kB a second.
+func (f *Front) rackSum(now int64, rk int) float64 {
 	sum := 0.0
 	for i := range f.nodes {
 		if f.nodes[i].rack == rk && f.nodes[i].listed {
 			sum += f.linkAsked(now, i) * f.capacity(now, i)
 		}
 	}
-	return max(a, sum/f.uplink())
+	return sum
+}
+
+// rackShort infers an uplink from shorts across its rack where nobody reports it: links that are
+// not all asked for and yet deliver short together. Guards against a sagging or weak uplink, which
+// no figure shows and which steps up would run into over and over.
+func (f *Front) rackShort(now int64, at int, share float64) {
+	r := &f.racks[f.nodes[at].rack]
+	if f.val("reports.uplink") > 0 || now-r.givenAt < int64(f.val("note.lag"))+settle && r.givenAt > 0 {
+		return
+	}
+	with, short := 0, 0
+	for i := range f.nodes {
+		if f.nodes[i].rack == f.nodes[at].rack && len(f.nodes[i].plays) > 0 {
+			with++
+			if s := f.shareNow(now, i); s < 1 && math.Abs(s-share) < alike {
+				short++
+			}
+		}
+	}
+	if short >= 2 && 2*short > with {
+		r.given, r.givenAt = share*f.rackSum(now, f.nodes[at].rack), now
+	}
 }
 
 // room is what a set-up may still ask at a node, kB a second.
 func (f *Front) room(now int64, at int) float64 {
 	link := (roomMark - f.linkAsked(now, at)) * f.capacity(now, at)
-	up := (roomMark - f.uplinkAsked(now, f.nodes[at].rack)) * f.uplink()
+	rk := f.nodes[at].rack
+	up := (roomMark - f.uplinkAsked(now, rk)) * f.uplink(now, rk)
 	if s := f.shareNow(now, at); s < 1 {
 		link = min(link, (roomMark-1/s)*f.capacity(now, at))
 	}
@@ -658,6 +695,7 @@
 	if n.shortFrom == 0 {
 		n.shortFrom = now
 	}
+	f.rackShort(now, at, share)
 	f.cut(now, at, 1/share, 1)
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -65,10 +65,10 @@
 
 // rack is a rack and its uplink.
 type rack struct {
-	own       float64
-	link      account
-	shortFrom int64
-	shortAt   int64
+	own     float64
+	link    account
+	given   float64 // what its uplink gave when last seen short, kB a second
+	givenAt int64   // 0 is never
 }
 
 // account is the last figure told of a link and what the front itself has changed since.
