--- a/choice/choice.go
+++ b/choice/choice.go
@@ -615,6 +615,10 @@
 // report takes in what a node told of its link and uplink.
 func (f *Front) report(now int64, at int, l front.Load) {
 	n := &f.nodes[at]
+	if l == n.told || l.Link < 0 && l.Uplink < 0 { // the same to the last digit is no news
+		return
+	}
+	n.told = l
 	late := 0.0 // set up too lately for the figure to hold it
 	for _, h := range n.plays {
 		if p := f.plays.Get(h); p.sent > 0 && now-p.sent < reportLag {
--- a/choice/state.go
+++ b/choice/state.go
@@ -61,6 +61,7 @@
 	slot        int64 // last cold slot used
 	probedAt    int64
 	probing     bool
+	told        front.Load // the last report
 }
 
 // rack is a rack and its uplink.
