A front without plays starts them low

Cause: with no plays of its own a front had no level and no account. Change: no plays counts as level 0. It could cost a rung for some seconds on an idle fleet.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -61,7 +61,7 @@
 
 // New makes a front from its settings, a map of names to numbers, and a seed.
 func New(set map[string][]float64, seed uint64) *Front {
-	f := &Front{level: math.Inf(1), set: set, rnd: pcg.New(seed), probes: probeStore}
+	f := &Front{set: set, rnd: pcg.New(seed), probes: probeStore}
 	f.racks = make([]rack, max(1, int(f.val("racks"))))
 	f.kinds = make([]kind, len(set["kind.streams"]))
 	return f
@@ -279,12 +279,13 @@
 			f.place(now, h, p)
 		}
 	}
-	below, sum := 0, 0
+	below, sum, all := 0, 0, 0
 	for i := range f.plays.Len() {
 		_, p := f.plays.At(i)
 		if p == nil || p.stage != playing {
 			continue
 		}
+		all++
 		if !p.sampled && now-p.started >= payoffAt {
 			p.sampled = true
 			f.sample(f.nodes[p.node].kind, 2*f.shareNow(now, p.node)-1)
@@ -293,9 +294,9 @@
 			below, sum = below+1, sum+p.rung
 		}
 	}
-	f.level = math.Inf(1)
-	if below > 0 {
-		f.level = float64(sum) / float64(below)
+	f.level = float64(sum) / float64(max(1, below))
+	if below == 0 && all > 0 {
+		f.level = math.Inf(1)
 	}
 	for at := range f.nodes {
 		if n := &f.nodes[at]; len(n.plays) > 0 {
