A link seen short regains its room slowly, as an uplink does

Cause: shares of links that come and go (other programs, sags) let plays step up into the next shortage. Kept: one memory for both, less see-saw. It costs some seconds of low rungs after a trouble that is truly over.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -529,11 +529,19 @@
 	if told := f.val("uplink.rate"); told > 0 {
 		u = told
 	}
-	if r := &f.racks[rk]; r.givenAt > 0 {
-		age := float64(now-r.givenAt) / float64(regain)
-		u = min(u, r.given*(1+age*age))
+	return regained(now, f.racks[rk].seen, u)
+}
+
+// regained is what a link or uplink counts as giving after it was seen short: that, and with time
+// more again up to what is told, slowly at first. Guards against trouble that comes and goes, and
+// against a lasting one that steps up would run into over and over; costs some seconds of low
+// rungs after one that is truly over.
+func regained(now int64, seen memory, told float64) float64 {
+	if seen.at == 0 {
+		return told
 	}
-	return u
+	age := float64(now-seen.at) / float64(regain)
+	return min(told, seen.given*(1+age*age))
 }
 
 // asked is the account of a link: own plays, or the last figure told and own changes since.
@@ -573,10 +581,10 @@
 // rackShort infers an uplink from shorts across its rack where nobody reports it: links that are
 // not all asked for and yet deliver short together. Guards against a sagging or weak uplink, which
 // no figure shows and which steps up would run into over and over.
-func (f *Front) rackShort(now int64, at int, share float64) {
+func (f *Front) rackShort(now int64, at int, share float64) bool {
 	r := &f.racks[f.nodes[at].rack]
-	if f.val("reports.uplink") > 0 || now-r.givenAt < int64(f.val("note.lag"))+settle && r.givenAt > 0 {
-		return
+	if f.val("reports.uplink") > 0 {
+		return r.link.at > 0 && r.link.asked >= roomMark
 	}
 	with, short := 0, 0
 	for i := range f.nodes {
@@ -587,14 +595,24 @@
 			}
 		}
 	}
-	if short >= 2 && 2*short > with {
-		r.given, r.givenAt = share*f.rackSum(now, f.nodes[at].rack), now
+	if short < 2 || 2*short <= with {
+		return false
 	}
+	if f.settled(now, r.seen.at) {
+		r.seen = memory{share * f.rackSum(now, f.nodes[at].rack), now}
+	}
+	return true
+}
+
+// settled tells that what was done at a time has had the time to show in the notes.
+func (f *Front) settled(now, at int64) bool {
+	return at == 0 || now-at >= int64(f.val("note.lag"))+settle
 }
 
 // room is what a set-up may still ask at a node, kB a second.
 func (f *Front) room(now int64, at int) float64 {
-	link := (roomMark - f.linkAsked(now, at)) * f.capacity(now, at)
+	full := f.capacity(now, at)
+	link := roomMark*regained(now, f.nodes[at].seen, full) - f.linkAsked(now, at)*full
 	rk := f.nodes[at].rack
 	up := (roomMark - f.uplinkAsked(now, rk)) * f.uplink(now, rk)
 	if s := f.shareNow(now, at); s < 1 {
@@ -700,7 +718,11 @@
 	if n.shortFrom == 0 {
 		n.shortFrom = now
 	}
-	f.rackShort(now, at, share)
+	if f.rackShort(now, at, share) {
+		n.seen = memory{}
+	} else if f.settled(now, n.seen.at) {
+		n.seen = memory{share * f.linkAsked(now, at) * f.capacity(now, at), now}
+	}
 	f.cut(now, at, 1/share, 1)
 }
 
--- a/choice/state.go
+++ b/choice/state.go
@@ -44,6 +44,7 @@
 	plays       []front.Handle
 	own         float64 // rates of own plays, kB a second
 	link        account
+	seen        memory
 	share       float64 // last share told while short; 1 otherwise
 	shareAt     int64
 	shortFrom   int64 // since when it is short; 0 is not
@@ -66,10 +67,9 @@
 
 // rack is a rack and its uplink.
 type rack struct {
-	own     float64
-	link    account
-	given   float64 // what its uplink gave when last seen short, kB a second
-	givenAt int64   // 0 is never
+	own  float64
+	link account
+	seen memory
 }
 
 // account is the last figure told of a link and what the front itself has changed since.
@@ -79,6 +79,12 @@
 	own   float64 // own rates that the figure holds
 }
 
+// memory is what a link or uplink gave when it was last seen short.
+type memory struct {
+	given float64 // kB a second
+	at    int64   // 0 is never
+}
+
 // stage is how far a play has come.
 type stage uint8
 
