Take other fronts to add half as much to an uplink as this one has since the report

Cause: the account counted own set-ups only. It could harm where viewers lean strongly on one front: its uplinks look fuller.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -545,22 +545,23 @@
 }
 
 // asked is the account of a link: own plays, or the last figure told and own changes since.
-func asked(a *account, own, capacity float64) float64 {
+func asked(a *account, own, capacity, others float64) float64 {
 	if a.at == 0 {
 		return own / capacity
 	}
-	return max(own/capacity, a.asked+(own-a.own)/capacity)
+	since := own - a.own
+	return max(own/capacity, a.asked+(since+max(0, since)*others)/capacity)
 }
 
 func (f *Front) linkAsked(now int64, at int) float64 {
 	n := &f.nodes[at]
-	return asked(&n.link, n.own, f.capacity(now, at))
+	return asked(&n.link, n.own, f.capacity(now, at), 0)
 }
 
 // uplinkAsked is the account of a rack's uplink: told, or else added up over the rack's links.
 func (f *Front) uplinkAsked(now int64, rk int) float64 {
 	r := &f.racks[rk]
-	a := asked(&r.link, r.own, f.uplink(now, rk))
+	a := asked(&r.link, r.own, f.uplink(now, rk), (f.val("fronts")-1)/2)
 	if f.val("reports.uplink") > 0 {
 		return a
 	}
