--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,11 +1,10 @@
 // Package choice decides where plays go, at which rung, and when to let go of them.
 //
 // The front end makes one Front with New and tells it all it learns through the calls of
-// front.Chooser (package front holds the interface and its words). Each call returns the
-// orders to carry out, nodes to probe and when to call Wake next. Nothing else is kept or read:
-// no clock, no wire, no other front. docs/design.md has the reasons and docs/oncall.md the
-// symptoms. Order of this file: constants, calls, placing, the account, rungs in play, health,
-// the six rules.
+// front.Chooser: package front holds that interface and its words. Each call returns the orders
+// to carry out, the nodes to probe and when to call Wake at the latest. Nothing else is read:
+// no clock, no wire, no other front. docs/design.md has the reasons, docs/oncall.md the symptoms.
+// In this order: constants, calls, placing, account, rungs in play, health, the six rules.
 package choice
 
 import (
@@ -16,47 +15,48 @@
 )
 
 const (
-	ms  = front.Ms
-	sec = front.Second
+	ms    = front.Ms
+	sec   = front.Second
+	never = -1 << 50 // a time long past
 
 	// The mechanism, as the design page has it.
-	epsFloor  = 0.05     // share of set-ups: the paper's best limit of exploration
-	tieWidth  = 0.1      // payoff: kinds this near the best mean are as good
-	roomMark  = 0.85     // asked over given: set-ups and steps up stay under it
-	payoffAt  = 10 * sec // time after the start at which a play's payoff is taken
-	skipFor   = 10 * sec // a viewer's left or failed node is passed over so long
-	checkGap  = 2 * sec  // two checks so far apart make a link short
-	shedEvery = 10 * sec // one play leaves a short link in this time
-	moveEvery = 300 * sec
-	upEvery   = 10 * sec // a play steps up no sooner after its last change
+	epsFloor  = 0.05      // of set-ups: the paper's best limit of exploration
+	tieWidth  = 0.1       // payoff: kinds this near the best mean are as good
+	roomMark  = 0.85      // asked over given: set-ups and steps up stay under it
+	payoffAt  = 10 * sec  // after its start a play's payoff is taken
+	skipFor   = 10 * sec  // a node left or failed is passed over so long
+	checkGap  = 2 * sec   // two checks so far apart make a link short
+	shedEvery = 10 * sec  // one play leaves a short link in this time
+	moveEvery = 300 * sec // a viewer is moved no more often
+	upEvery   = 10 * sec  // a play steps up no more often
 
 	// Ours, where the design is silent.
-	overMark    = 1.00      // asked over given: steps down begin; full links stall from 0.98
+	overMark    = 1.0       // asked over given: steps down begin; reports are noisy, stalls start at 1.02
+	cutTo       = 0.92      // asked over given that they aim at: clear of stalls, no see-saw with roomMark
 	fullMark    = 1.0       // asked over given: past it a play more costs all there more than it earns
-	fullFor     = 4000 * ms // a figure older than this turns nobody away
-	refusedFor  = 1000 * ms // a node that refused as full is not asked again so soon, doubled for each in a row
-	refusedMost = 2         // doublings: 4 s, as long as late reports go on calling it empty
-	rungSpacing = 1.2       // rungs: how far over the mean of plays that could still rise others may stand
-	farCost     = 0.1       // asked over given: a node of another zone counts as this much fuller when none has room
-	regain      = 25 * sec  // an uplink seen short counts as giving twice as much again after this, slowly at first
-	alike       = 0.1       // shares this near tell of one cause
-	cutTo       = 0.92      // asked over given that a step-down aims at: just above roomMark, no see-saw
+	fullFor     = 4 * sec   // an older figure turns nobody away
+	rungSpacing = 1.2       // rungs a play may start or rise to over the mean of those that could rise
+	swapGain    = 3.0       // a step up must earn this many times its price
+	leastLeft   = 10 * sec  // an untold length: as much is left as has played, this at least
 	shortUnder  = 0.98      // share of rate: below it a play loses worth
-	nearRoom    = 0.1       // share of the room: holders this near the most are equals, drawn at random
-	wakeEvery   = 200 * ms  // pace of checks: well under a second, cheap
-	settle      = 1000 * ms // beyond the notes' lag: time for a cut to show before the next
-	shortHolds  = 1500 * ms // a short note, due each second, counts this long past its lag
-	freshFor    = 1500 * ms // a report older than this is asked again before a step up
+	shortHolds  = 1500 * ms // a note of shortage, due each second, counts this long
+	alike       = 0.1       // shares this near tell of one cause
+	regain      = 25 * sec  // a link seen short counts as giving twice as much again after this
+	crowd       = 0.5       // of own changes: what each other front is taken to add to an uplink since a report
+	nearRoom    = 0.1       // of the most room: holders this near are equals, drawn at random
+	farCost     = 0.1       // asked over given: another zone's node counts as so much fuller, with no room
+	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
+	settle      = 1 * sec   // beyond the notes' lag: time for a change to show before the next
+	freshFor    = 1500 * ms // an older report is asked again before a step up
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it
-	perPlay     = 1.0       // probes earned by each play taken: keeps their price near its unit
-	probeStore  = 20        // probes saved up at most: one look at a fleet
-	firstShare  = 0.5       // of the time to the first-frame target an allocation may take, leaving one more
-	holdShare   = 0.4       // of the time to the first-frame target a play may wait for a cold node's turn
+	perPlay     = 1.0       // probes earned by each play taken, which keeps their price near its unit
+	probeStore  = 20.0      // probes saved up at most: one look at a fleet
+	firstShare  = 0.5       // of the time to the first-frame target one allocation may take: leaves one more
+	holdShare   = 0.4       // of the first-frame target a play may wait for a cold or full node's turn
+	refusedFor  = 1 * sec   // a node that refused as full is left alone, doubled for each in a row
+	doublings   = 2         // of refusedFor at most: 4 s, as long as late reports call it empty
 	coldMargin  = 1.3       // how far under the cold allowance all fronts together stay
-	leastLeft   = 10 * sec  // an untold length: as much is left as has played, this at least
-	doubleAt    = 1         // failures in a row after which a node's skip has doubled fully
 	budgetEdge  = 20 * ms   // kept clear at either end of the budget's window
-	swapGain    = 3.0       // a change of rung must earn this many times its price
 )
 
 // New makes a front from its settings, a map of names to numbers, and a seed.
@@ -68,12 +68,7 @@
 }
 
 // val is a setting's single value, 0 if it is not given.
-func (f *Front) val(name string) float64 {
-	if v := f.set[name]; len(v) > 0 {
-		return v[0]
-	}
-	return 0
-}
+func (f *Front) val(name string) float64 { return f.of(name, 0, 0) }
 
 // of is a setting's value for one product, kind or rung, or else what stands in for it.
 func (f *Front) of(name string, i int, or float64) float64 {
@@ -86,7 +81,7 @@
 // ---- Calls ----
 
 func (f *Front) begin() {
-	f.res.Orders, f.res.Probes, f.res.Wake = f.res.Orders[:0], f.res.Probes[:0], 0
+	f.res.Orders, f.res.Probes = f.res.Orders[:0], f.res.Probes[:0]
 }
 
 func (f *Front) end(now int64) *front.Result {
@@ -94,48 +89,52 @@
 	return &f.res
 }
 
+func (f *Front) order(o front.Order) { f.res.Orders = append(f.res.Orders, o) }
+
+// known makes sure that a node has a record.
+func (f *Front) known(at int) *node {
+	for at >= len(f.nodes) {
+		f.nodes = append(f.nodes, node{share: 1, slot: -1, shareAt: never, cutAt: never,
+			raisedAt: never, shedAt: never, probedAt: never})
+	}
+	return &f.nodes[at]
+}
+
 // Nodes follows the list. What a full list lacks is gone.
 func (f *Front) Nodes(now int64, list []front.Node, whole bool) *front.Result {
 	f.begin()
-	if whole {
-		for i := range f.nodes {
-			f.nodes[i].listed = false
-		}
+	for i := range f.nodes {
+		f.nodes[i].listed = f.nodes[i].listed && !whole
 	}
 	for _, l := range list {
-		for l.Index >= len(f.nodes) {
-			f.nodes = append(f.nodes, node{share: 1, slot: -1})
-		}
-		n := &f.nodes[l.Index]
-		if l.Started > n.started { // a fresh process: cold, and nothing known of its load
-			n.slot, n.link = -1, account{}
-			n.fails, n.trial, n.skipUntil = 0, false, 0
+		n := f.known(l.Index)
+		if l.Started > n.started { // a fresh process: cold, healthy, its load unknown
+			n.slot, n.link, n.seen, n.strikes, n.trial, n.skipUntil = -1, account{}, memory{}, 0, false, 0
 		}
 		n.listed = l.Phase != front.Gone
 		n.phase, n.kind, n.zone, n.cell = l.Phase, l.Kind, l.Zone, l.Cell
-		n.rack = l.Cell % len(f.racks)
-		n.started, n.weight = l.Started, l.Weight
+		n.rack, n.started, n.weight = l.Cell%len(f.racks), l.Started, l.Weight
 	}
 	return f.end(now)
 }
 
-// Take accepts a play and places it, holds it or answers it.
+// Take accepts a play and places it, lets it wait or answers it.
 func (f *Front) Take(now int64, w front.Want) (front.Handle, *front.Result) {
 	f.begin()
 	h, p := f.accept(now, w)
 	f.taken = append(f.taken, now)
 	f.probes = min(probeStore, f.probes+perPlay)
-	p.holdUntil = now + int64(holdShare*f.of("product.target", w.Product, 0))
 	f.place(now, h, p)
 	return h, f.end(now)
 }
 
 func (f *Front) accept(now int64, w front.Want) (front.Handle, *ply) {
 	for w.Viewer >= len(f.viewers) {
-		f.viewers = append(f.viewers, viewer{})
+		f.viewers = append(f.viewers, viewer{movedAt: never})
 	}
 	h, p := f.plays.Add()
-	*p = ply{want: w, try: -1, taken: now, raised: now - upEvery}
+	*p = ply{want: w, try: -1, taken: now, sent: never, raised: now - upEvery}
+	p.rung = f.floor(p)
 	return h, p
 }
 
@@ -143,25 +142,22 @@
 func (f *Front) Adopt(now int64, w front.Want, at int) (front.Handle, *front.Result) {
 	f.begin()
 	h, p := f.accept(now, w)
-	for at >= len(f.nodes) {
-		f.nodes = append(f.nodes, node{share: 1, slot: -1})
-	}
+	f.known(at)
 	p.try, p.stage, p.started = 0, playing, now
-	p.rung = f.floor(p)
 	f.bind(h, p, at)
 	return h, f.end(now)
 }
 
 // Started moves a play from set-up to playing; the node has proved itself.
-func (f *Front) Started(now int64, h front.Handle, try int, took int64) *front.Result {
+func (f *Front) Started(now int64, h front.Handle, try int) *front.Result {
 	f.begin()
 	if p := f.plays.Get(h); p != nil && p.stage == settingUp && p.try == try {
 		p.stage, p.started = playing, now
 		n := &f.nodes[p.node]
 		n.settingUp--
-		n.fails, n.trial, n.refusals = 0, false, 0
-		if n.lostAt > n.started && n.backAt < n.lostAt {
-			n.backAt, n.slot = now, -1 // back, and cold again whatever the list says
+		n.strikes, n.trial = 0, false
+		if n.lostAt > max(n.started, n.backAt) { // back, and cold again before the list says so
+			n.backAt, n.slot = now, -1
 		}
 	}
 	return f.end(now)
@@ -176,30 +172,27 @@
 		return f.end(now)
 	}
 	at, was := p.node, p.stage
-	n := &f.nodes[at]
 	f.unbind(h, p)
 	f.report(now, at, load)
-	if was != deserted && how != front.Served {
-		f.recall(now, p, at)
+	if how != front.Served && how != front.NotSent && was != deserted {
+		f.viewers[p.want.Viewer].left, f.viewers[p.want.Viewer].leftAt = at+1, now
 	}
-	if was == settingUp || was == deserted {
-		n.settingUp--
+	switch {
+	case was != playing:
+		f.nodes[at].settingUp--
+		f.judge(now, at, how)
+		if was == settingUp && how != front.Served && how != front.NotSent {
+			f.sample(f.nodes[at].kind, -1)
+		}
+	case how == front.Lost:
 		f.judge(now, at, how)
-	} else if how == front.Lost {
-		f.broke(now, at)
-	}
-	if was == settingUp && how != front.Served && how != front.NotSent {
-		f.sample(n.kind, -1)
 	}
 	if over || was != settingUp {
 		f.plays.Drop(h)
 		return f.end(now)
 	}
-	if how != front.TurnedAway && how != front.NoConnect && how != front.NotSent {
-		p.mayHave = true
-	}
-	p.stage, p.avoid = held, at+1
-	p.holdUntil = min(p.holdUntil, now)
+	p.stage = held
+	p.mayHave = p.mayHave || how != front.TurnedAway && how != front.NoConnect && how != front.NotSent
 	f.place(now, h, p)
 	return f.end(now)
 }
@@ -207,15 +200,12 @@
 // Left drops a play whose viewer went away, once its allocation is in.
 func (f *Front) Left(now int64, h front.Handle) *front.Result {
 	f.begin()
-	if p := f.plays.Get(h); p != nil {
-		switch p.stage {
-		case held:
-			f.plays.Drop(h)
-		case settingUp:
-			p.stage = deserted
-			if f.val("recall") > 0 {
-				f.res.Orders = append(f.res.Orders, front.Order{Play: h, Do: front.Recall, Try: p.try})
-			}
+	if p := f.plays.Get(h); p != nil && p.stage == held {
+		f.plays.Drop(h)
+	} else if p != nil && p.stage == settingUp {
+		p.stage = deserted
+		if f.val("recall") > 0 {
+			f.order(front.Order{Play: h, Do: front.Recall, Try: p.try})
 		}
 	}
 	return f.end(now)
@@ -226,9 +216,7 @@
 	f.begin()
 	if p := f.plays.Get(h); p != nil && p.stage == playing {
 		f.rerate(p, rung)
-		if rung < f.floor(p) {
-			f.setRung(now, h, p, f.floor(p))
-		}
+		f.setRung(now, h, p, max(rung, f.floor(p)))
 	}
 	return f.end(now)
 }
@@ -251,18 +239,16 @@
 	return f.end(now)
 }
 
-// Probed takes a probe's report, and sets rungs that are still free to set by it.
+// Probed takes a probe's report, and sets the rungs that are still free to set by it.
 func (f *Front) Probed(now int64, at int, how front.Ending, load front.Load) *front.Result {
 	f.begin()
-	if at < len(f.nodes) {
-		n := &f.nodes[at]
-		n.probing = false
-		if how == front.Served {
-			f.report(now, at, load)
-			for _, h := range n.plays {
-				if p := f.plays.Get(h); p.stage == settingUp {
-					f.setRung(now, h, p, f.fit(now, at, p, f.rate(p, p.rung)))
-				}
+	n := f.known(at)
+	n.probing = false
+	if how == front.Served {
+		f.report(now, at, load)
+		for _, h := range n.plays {
+			if p := f.plays.Get(h); p.stage == settingUp {
+				f.setRung(now, h, p, f.fit(p, f.room(now, at)+f.rate(p, p.rung)))
 			}
 		}
 	}
@@ -285,12 +271,11 @@
 		if p == nil || p.stage != playing {
 			continue
 		}
-		all++
 		if !p.sampled && now-p.started >= payoffAt {
 			p.sampled = true
 			f.sample(f.nodes[p.node].kind, 2*f.shareNow(now, p.node)-1)
 		}
-		if p.rung < f.top(p) {
+		if all++; p.rung < f.top(p) {
 			below, sum = below+1, sum+p.rung
 		}
 	}
@@ -299,7 +284,7 @@
 		f.level = math.Inf(1)
 	}
 	for at := range f.nodes {
-		if n := &f.nodes[at]; len(n.plays) > 0 {
+		if len(f.nodes[at].plays) > 0 {
 			f.shed(now, at)
 			f.raise(now, at)
 		}
@@ -307,7 +292,7 @@
 	return f.end(now)
 }
 
-// ---- Placing (the feature-greedy choice) ----
+// ---- Placing: the feature-greedy choice ----
 
 // sample adds a payoff to W.
 func (f *Front) sample(kind int, payoff float64) {
@@ -328,35 +313,31 @@
 	return sum / float64(max(1, f.samples))
 }
 
-// place allocates a held play, keeps it waiting for a cold node's turn, or gives it up.
+// place allocates a play in hand, lets it wait for a node's turn, or gives it up at once.
 func (f *Front) place(now int64, h front.Handle, p *ply) {
-	if p.try+1 >= int(f.val("tries")) || now >= p.want.Limit || !f.seatFree(p) ||
-		!f.mayAgain(now, p) {
+	at, wait := -1, false
+	if p.try+1 < int(f.val("tries")) && now < p.want.Limit && f.seatFree(p) && f.mayAgain(now, p) {
+		at, wait = f.choose(now, p)
+	}
+	if at < 0 && wait {
+		f.waiting = append(f.waiting, h)
+	} else if at < 0 {
 		f.giveUp(h, p)
-		return
 	}
-	at, turn := f.choose(now, p)
 	if at < 0 {
-		if turn && now < p.holdUntil {
-			f.waiting = append(f.waiting, h)
-		} else {
-			f.giveUp(h, p)
-		}
 		return
 	}
 	n := &f.nodes[at]
-	p.rung = f.fit(now, at, p, 0)
-	p.stage, p.sent = settingUp, now
+	p.rung, p.stage, p.sent = f.fit(p, f.room(now, at)), settingUp, now
 	if p.try++; p.try > 0 {
 		f.again = append(f.again, now)
 	}
 	n.settingUp++
-	f.useSlot(now, at)
+	n.slot, _ = f.turnOf(now, at)
 	f.bind(h, p, at)
-	f.res.Orders = append(f.res.Orders, front.Order{Play: h, Do: front.Place, Node: at, Rung: p.rung,
-		Until: f.until(now, p)})
+	f.order(front.Order{Play: h, Do: front.Place, Node: at, Rung: p.rung, Until: f.until(now, p)})
 	if now-n.link.at > freshFor {
-		f.probe(now, at, perPlay)
+		f.probe(now, at, 1)
 	}
 }
 
@@ -370,122 +351,93 @@
 	return min(p.want.Limit, now+int64(firstShare*float64(target-now)))
 }
 
-// choose is the feature-greedy choice among the holders. It returns -1 if none can take the
-// play, and whether one will after its cold turn.
-func (f *Front) choose(now int64, p *ply) (at int, turn bool) {
-	eps := 1.0
-	if f.samples > 0 {
-		eps = max(epsFloor, 1/math.Sqrt(float64(f.samples)))
-	}
-	explore := f.rnd.Float() < eps
-	best := math.Inf(-1)
-	v := f.viewers[p.want.Viewer]
-	usable := func(i int) bool {
-		return f.takes(now, i, p) && now >= f.nodes[i].refuseUntil && p.avoid != i+1 && !(v.left == i+1 && now-v.leftAt < skipFor)
-	}
+// choose is the feature-greedy choice among the holders. It returns -1 if none can take the play
+// now, and whether to wait as one soon may.
+func (f *Front) choose(now int64, p *ply) (at int, wait bool) {
+	holdUntil := p.taken + int64(holdShare*f.of("product.target", p.want.Product, 0))
 	need := f.rate(p, f.floor(p))
+	f.cands = f.cands[:0]
 	for i := range f.nodes {
-		if usable(i) && f.room(now, i) >= need {
-			best = max(best, f.mean(f.nodes[i].kind))
-		}
-	}
-	if !math.IsInf(best, -1) {
-		// Pass 1 finds the rung that the most room gives, pass 2 whether one of the own zone gives it
-		// too, pass 3 the most room there, pass 4 draws among those as good.
-		most, ties, pick, rung, near := 0.0, 0, -1, 0, false
-		for pass := range 4 {
-			for i := range f.nodes {
-				room := f.room(now, i)
-				if !usable(i) || room < need || !explore && f.mean(f.nodes[i].kind) < best-tieWidth {
-					continue
-				}
-				own := f.ownZone(i) && f.fit(now, i, p, 0) >= rung
-				switch {
-				case pass == 0:
-					rung = max(rung, f.fit(now, i, p, 0))
-				case pass == 1:
-					near = near || own
-				case near && !own:
-				case pass == 2:
-					most = max(most, room)
-				case explore || room >= most*(1-nearRoom):
-					if ties++; f.rnd.Below(ties) == 0 {
-						pick = i
-					}
-				}
-			}
-		}
-		return pick, false
-	}
-	// No room anywhere: the least used. One to be skipped comes only if no other is left,
-	// and then not for a paid play, which a failure there would end.
-	least, pick := math.Inf(1), -1
-	for i := range f.nodes {
-		if !f.takes(now, i, p) {
-			turn = turn || f.holds(i, p) && f.healthy(now, i) && !f.pace(now, i)
+		if !f.holds(i, p) {
 			continue
 		}
-		used := f.used(now, i)
-		if f.full(now, i, used, need) {
-			f.probe(now, i, perPlay)
-			turn = true
-			continue
+		c := cand{i, f.room(now, i), f.used(now, i), 0}
+		full := c.room < need && f.full(now, i, c.used, need)
+		if full {
+			f.probe(now, i, 1)
 		}
-		if !usable(i) {
-			used += 100
-		}
-		if !f.ownZone(i) {
-			used += farCost
-		}
-		if used < least {
-			least, pick = used, i
+		if full || !f.healthy(now, i) || !f.pace(now, i) {
+			wait = wait || now < holdUntil && f.nodes[i].skipUntil < holdUntil
+			continue
 		}
+		c.rung = f.fit(p, c.room)
+		f.cands = append(f.cands, c)
 	}
-	if pick < 0 && !turn && !f.paid(p) {
-		for i := range f.nodes { // only sick ones hold it: better a try than none
-			if f.holds(i, p) && f.pace(now, i) && f.nodes[i].settingUp == 0 && p.avoid != i+1 {
-				if a := f.used(now, i); a < least && !f.full(now, i, a, need) {
-					least, pick = a, i
-				}
+	if len(f.cands) == 0 {
+		return -1, wait
+	}
+	if v := &f.viewers[p.want.Viewer]; now-v.leftAt < skipFor {
+		f.prefer(func(c *cand) bool { return c.at != v.left-1 })
+	}
+	if f.paid(p) { // a failure would end it: let others try a node on probation
+		f.prefer(func(c *cand) bool { return !f.nodes[c.at].trial })
+	}
+	f.prefer(func(c *cand) bool { return c.room >= need })
+	if f.cands[0].room < need { // no room: the least used
+		least := f.cands[0]
+		for _, c := range f.cands {
+			if !f.ownZone(c.at) {
+				c.used += farCost
+			}
+			if c.used < least.used {
+				least = c
 			}
 		}
+		return least.at, false
 	}
-	return pick, turn
-}
-
-// used is how much is asked of a node's link or uplink, whichever is more, or has been told short.
-func (f *Front) used(now int64, at int) float64 {
-	return max(f.linkAsked(now, at), f.uplinkAsked(now, f.nodes[at].rack), 1/f.shareNow(now, at))
-}
-
-// full tells that one play more would cost all plays there more than it earns: the link was lately
-// known to be all asked for, and own plays there cannot step down to make the room. Guards against
-// a crowd piling on links where all stand on their floors; harms if a figure is wrong for long, so
-// an old one does not count.
-func (f *Front) full(now int64, at int, used, need float64) bool {
-	n := &f.nodes[at]
-	known := max(n.link.at, f.racks[n.rack].link.at, n.shareAt)
-	if now < n.refuseUntil {
-		return true
+	eps := 1.0
+	if f.samples > 0 {
+		eps = max(epsFloor, 1/math.Sqrt(float64(f.samples)))
 	}
-	if used+need/f.capacity(now, at) <= fullMark || now-known > fullFor || known == 0 {
-		return false
+	explore := f.rnd.Float() < eps
+	mean, rung, room := math.Inf(-1), 0, 0.0
+	for _, c := range f.cands {
+		mean = max(mean, f.mean(f.nodes[c.at].kind))
 	}
-	for _, h := range n.plays {
-		if p := f.plays.Get(h); p.stage == playing {
-			need -= f.rate(p, p.rung) - f.rate(p, f.floor(p))
-		}
+	if !explore {
+		f.prefer(func(c *cand) bool { return f.mean(f.nodes[c.at].kind) >= mean-tieWidth })
 	}
-	return need > 0
+	for _, c := range f.cands {
+		rung = max(rung, c.rung)
+	}
+	// Holders that give the same rung are equals: there the own zone comes first, as crossing has
+	// its price and a cut between zones breaks plays.
+	f.prefer(func(c *cand) bool { return c.rung >= rung && f.ownZone(c.at) })
+	for _, c := range f.cands {
+		room = max(room, c.room)
+	}
+	if !explore {
+		f.prefer(func(c *cand) bool { return c.room >= room*(1-nearRoom) })
+	}
+	return f.cands[f.rnd.Below(len(f.cands))].at, false
 }
 
-// ownZone tells that placing a play at a node crosses no zones. Among holders that give the same
-// rung it comes first: crossing has a price where one is set, and a cut between zones breaks plays.
-func (f *Front) ownZone(at int) bool {
-	z, told := f.set["zone"]
-	return !told || f.nodes[at].zone == int(z[0])
+// prefer keeps the candidates that pass, or all if none does.
+func (f *Front) prefer(pass func(c *cand) bool) {
+	k := 0
+	for i := range f.cands {
+		if pass(&f.cands[i]) {
+			f.cands[i], f.cands[k] = f.cands[k], f.cands[i]
+			k++
+		}
+	}
+	if k > 0 {
+		f.cands = f.cands[:k]
+	}
 }
 
+func (f *Front) ownZone(at int) bool { return f.nodes[at].zone == int(f.of("zone", 0, -1)) }
+
 // holds tells that a node is ready and holds the title.
 func (f *Front) holds(at int, p *ply) bool {
 	n := &f.nodes[at]
@@ -494,22 +446,21 @@
 	return n.listed && n.phase == front.Ready && off < p.want.Copies
 }
 
-// takes tells that a holder may be given a set-up now.
-func (f *Front) takes(now int64, at int, p *ply) bool {
-	return f.holds(at, p) && f.healthy(now, at) && f.pace(now, at)
-}
-
-// giveUp answers a play at once. Only what cannot have run is declined if it is paid for.
-func (f *Front) giveUp(h front.Handle, p *ply) {
-	o := front.Order{Play: h, Do: front.Decline}
-	if f.val("comeback") > 0 {
-		o.ComeBack = int64(f.val("comeback.most"))
+// full tells that one play more would cost all plays there more than it earns: the link is lately
+// known to be all asked for, and own plays there cannot step down to make the room. Guards against
+// a crowd piling onto links where all stand on their floors; an old figure turns nobody away.
+func (f *Front) full(now int64, at int, used, need float64) bool {
+	n := &f.nodes[at]
+	if now-max(n.link.at, f.racks[n.rack].link.at, n.shareAt) > fullFor ||
+		used+need/f.capacity(now, at) <= fullMark {
+		return false
 	}
-	if f.paid(p) && p.mayHave {
-		o = front.Order{Play: h, Do: front.Fail}
+	for _, h := range n.plays {
+		if p := f.plays.Get(h); p.stage == playing {
+			need -= f.rate(p, p.rung) - f.rate(p, f.floor(p))
+		}
 	}
-	f.res.Orders = append(f.res.Orders, o)
-	f.plays.Drop(h)
+	return need > 0
 }
 
 // ---- The account ----
@@ -522,20 +473,17 @@
 	return f.val("weight.rate") * f.nodes[at].weight * f.warmth(now, at)
 }
 
-// uplink is what a rack's uplink gives: the mean told, or less once the rack was seen short, and
-// from then on more again with time, as nobody tells of a sag's end.
+// uplink is what a rack's uplink gives: the mean told, or less once the rack was seen short.
 func (f *Front) uplink(now int64, rk int) float64 {
-	u := math.Inf(1)
 	if told := f.val("uplink.rate"); told > 0 {
-		u = told
+		return regained(now, f.racks[rk].seen, told)
 	}
-	return regained(now, f.racks[rk].seen, u)
+	return regained(now, f.racks[rk].seen, math.Inf(1))
 }
 
 // regained is what a link or uplink counts as giving after it was seen short: that, and with time
-// more again up to what is told, slowly at first. Guards against trouble that comes and goes, and
-// against a lasting one that steps up would run into over and over; costs some seconds of low
-// rungs after one that is truly over.
+// more again up to what is told, slowly at first. Guards against trouble that comes and goes and
+// against weak links nobody reports; costs some seconds of low rungs after one that is over.
 func regained(now int64, seen memory, told float64) float64 {
 	if seen.at == 0 {
 		return told
@@ -544,8 +492,8 @@
 	return min(told, seen.given*(1+age*age))
 }
 
-// asked is the account of a link: own plays, or the last figure told and own changes since.
-func asked(a *account, own, capacity, others float64) float64 {
+// asked is an account: own plays, or the last figure told and what was changed since.
+func asked(a account, own, capacity, others float64) float64 {
 	if a.at == 0 {
 		return own / capacity
 	}
@@ -554,14 +502,14 @@
 }
 
 func (f *Front) linkAsked(now int64, at int) float64 {
-	n := &f.nodes[at]
-	return asked(&n.link, n.own, f.capacity(now, at), 0)
+	return asked(f.nodes[at].link, f.nodes[at].own, f.capacity(now, at), 0)
 }
 
-// uplinkAsked is the account of a rack's uplink: told, or else added up over the rack's links.
+// uplinkAsked is a rack's account: told, or else added up over its links. Other fronts are taken
+// to add to it as this one has since: guards against a crowd that all of them meet at once.
 func (f *Front) uplinkAsked(now int64, rk int) float64 {
 	r := &f.racks[rk]
-	a := asked(&r.link, r.own, f.uplink(now, rk), (f.val("fronts")-1)/2)
+	a := asked(r.link, r.own, f.uplink(now, rk), (f.val("fronts")-1)*crowd)
 	if f.val("reports.uplink") > 0 {
 		return a
 	}
@@ -569,8 +517,7 @@
 }
 
 // rackSum adds up what is asked of a rack's links, kB a second.
-func (f *Front) rackSum(now int64, rk int) float64 {
-	sum := 0.0
+func (f *Front) rackSum(now int64, rk int) (sum float64) {
 	for i := range f.nodes {
 		if f.nodes[i].rack == rk && f.nodes[i].listed {
 			sum += f.linkAsked(now, i) * f.capacity(now, i)
@@ -579,52 +526,23 @@
 	return sum
 }
 
-// rackShort infers an uplink from shorts across its rack where nobody reports it: links that are
-// not all asked for and yet deliver short together. Guards against a sagging or weak uplink, which
-// no figure shows and which steps up would run into over and over.
-func (f *Front) rackShort(now int64, at int, share float64) bool {
-	r := &f.racks[f.nodes[at].rack]
-	if f.val("reports.uplink") > 0 {
-		return r.link.at > 0 && r.link.asked >= roomMark
-	}
-	with, short := 0, 0
-	for i := range f.nodes {
-		if f.nodes[i].rack == f.nodes[at].rack && len(f.nodes[i].plays) > 0 {
-			with++
-			if s := f.shareNow(now, i); s < 1 && math.Abs(s-share) < alike {
-				short++
-			}
-		}
-	}
-	if short < 2 || 2*short <= with {
-		return false
-	}
-	if f.settled(now, r.seen.at) {
-		r.seen = memory{share * f.rackSum(now, f.nodes[at].rack), now}
-	}
-	return true
-}
-
-// settled tells that what was done at a time has had the time to show in the notes.
-func (f *Front) settled(now, at int64) bool {
-	return at == 0 || now-at >= int64(f.val("note.lag"))+settle
+// used is how much is asked of a node's link or uplink, or was told short, whichever is most.
+func (f *Front) used(now int64, at int) float64 {
+	return max(f.linkAsked(now, at), f.uplinkAsked(now, f.nodes[at].rack), 1/f.shareNow(now, at))
 }
 
 // room is what a set-up may still ask at a node, kB a second.
 func (f *Front) room(now int64, at int) float64 {
-	full := f.capacity(now, at)
-	link := roomMark*regained(now, f.nodes[at].seen, full) - f.linkAsked(now, at)*full
-	rk := f.nodes[at].rack
-	up := (roomMark - f.uplinkAsked(now, rk)) * f.uplink(now, rk)
+	n, full := &f.nodes[at], f.capacity(now, at)
+	link := roomMark*regained(now, n.seen, full) - f.linkAsked(now, at)*full
 	if s := f.shareNow(now, at); s < 1 {
-		link = min(link, (roomMark-1/s)*f.capacity(now, at))
+		link = min(link, (roomMark-1/s)*full)
 	}
-	return min(link, up)
+	return min(link, (roomMark-f.uplinkAsked(now, n.rack))*f.uplink(now, n.rack))
 }
 
-// fit is the highest rung that the room takes, with what the play itself holds there given back.
-func (f *Front) fit(now int64, at int, p *ply, back float64) int {
-	room := f.room(now, at) + back
+// fit is the highest rung that a room takes, within reach.
+func (f *Front) fit(p *ply, room float64) int {
 	r := max(f.floor(p), min(f.top(p), f.reach()))
 	for r > f.floor(p) && f.rate(p, r) > room {
 		r--
@@ -632,40 +550,42 @@
 	return r
 }
 
-// report takes in what a node told of its link and uplink.
+// reach is the highest rung that a play may start at or step up to. A rung more earns several
+// times as much low on the ladder as high on it for the same rate, so the first to come must not
+// fill the links. A front without plays starts low, as it knows nothing of the links.
+func (f *Front) reach() int { return int(min(100, f.level+rungSpacing)) }
+
+// report takes in what a node told of its link and uplink. The same to the last digit is no news:
+// guards against reports that freeze or come again.
 func (f *Front) report(now int64, at int, l front.Load) {
 	n := &f.nodes[at]
-	if l == n.told || l.Link < 0 && l.Uplink < 0 { // the same to the last digit is no news
+	if l == n.told || l.Link < 0 && l.Uplink < 0 {
 		return
 	}
 	n.told = l
-	late := 0.0 // set up too lately for the figure to hold it
+	late := 0.0
 	for _, h := range n.plays {
-		if p := f.plays.Get(h); p.sent > 0 && now-p.sent < reportLag {
+		if p := f.plays.Get(h); now-p.sent < reportLag {
 			late += f.rate(p, p.rung)
 		}
 	}
 	if l.Link >= 0 {
 		n.link = account{now, l.Link, n.own - late}
 	}
-	if l.Uplink >= 0 {
-		r := &f.racks[n.rack]
+	if r := &f.racks[n.rack]; l.Uplink >= 0 {
 		r.link = account{now, l.Uplink, r.own - late}
 	}
-	if l.Link >= 0 || l.Uplink >= 0 {
-		f.cut(now, at, max(l.Link, l.Uplink), overMark)
-	}
+	f.cut(now, at, max(l.Link, l.Uplink), overMark)
 }
 
 // probe asks a node for its load, as far as probes are earned.
 func (f *Front) probe(now int64, at int, cost float64) {
 	n := &f.nodes[at]
-	if f.val("probing") == 0 || f.probes < cost || n.probing || now-n.probedAt < settle && n.probedAt > 0 {
-		return
+	if f.val("probing") > 0 && f.probes >= cost && !n.probing && now-n.probedAt >= settle {
+		f.probes -= cost
+		n.probing, n.probedAt = true, now
+		f.res.Probes = append(f.res.Probes, at)
 	}
-	f.probes -= cost
-	n.probing, n.probedAt = true, now
-	f.res.Probes = append(f.res.Probes, at)
 }
 
 // ---- Rungs in play ----
@@ -677,37 +597,61 @@
 	return max(f.floor(p), min(p.want.Top, rungs, int(f.of("product.top", p.want.Product, float64(rungs)))))
 }
 
+func (f *Front) importance(p *ply) float64 { return f.of("product.importance", p.want.Product, 1) }
+
+// gain is what a rung earns a second over the one below it, and more what it asks.
+func (f *Front) gain(p *ply, rung int) float64 {
+	return f.importance(p) * (f.of("rung.worth", rung, 0) - f.of("rung.worth", rung-1, 0))
+}
+
+func (f *Front) more(p *ply, rung int) float64 { return f.rate(p, rung) - f.rate(p, rung-1) }
+
 // setRung changes a play's rung and orders it.
 func (f *Front) setRung(now int64, h front.Handle, p *ply, rung int) {
-	if rung != p.rung {
-		if rung > p.rung {
-			p.raised = now
-		}
-		f.rerate(p, rung)
-		f.res.Orders = append(f.res.Orders, front.Order{Play: h, Do: front.SetRung, Rung: rung})
+	if rung == p.rung {
+		return
+	}
+	if rung > p.rung {
+		p.raised = now
 	}
+	f.rerate(p, rung)
+	f.order(front.Order{Play: h, Do: front.SetRung, Rung: rung})
 }
 
-// reach is the highest rung that a play may step up to or start at: rungSpacing over the mean of
-// the plays that could still rise. A rung more earns several times as much low on the ladder as
-// high on it for the same rate, so the first to come must not fill the links.
-func (f *Front) reach() int { return int(min(100, f.level+rungSpacing)) }
-
 func (f *Front) rerate(p *ply, rung int) {
-	more := f.rate(p, rung) - f.rate(p, p.rung)
-	n := &f.nodes[p.node]
+	n, more := &f.nodes[p.node], f.rate(p, rung)-f.rate(p, p.rung)
 	n.own += more
 	f.racks[n.rack].own += more
 	p.rung = rung
 }
 
-// gain is the worth a second between a play's rung and the next below it.
-func (f *Front) gain(p *ply, rung int) float64 {
-	return f.of("product.importance", p.want.Product, 1) *
-		(f.of("rung.worth", rung, 0) - f.of("rung.worth", rung-1, 0))
+// best is the play of a node that plays and has most merit above 0.
+func (f *Front) best(at int, merit func(p *ply) float64) (pick front.Handle, best *ply) {
+	most := 0.0
+	for _, h := range f.nodes[at].plays {
+		p := f.plays.Get(h)
+		if p.stage != playing {
+			continue
+		}
+		if m := merit(p); m > most {
+			most, pick, best = m, h, p
+		}
+	}
+	return pick, best
+}
+
+// shareNow is the share delivered at a node as far as it is told; silence is a full share.
+func (f *Front) shareNow(now int64, at int) float64 {
+	if n := &f.nodes[at]; n.share < shortUnder && now-n.shareAt < shortHolds {
+		return n.share
+	}
+	return 1
 }
 
-// short takes in a share: the link is asked 1/share of what it gives, unless its uplink is.
+// settled tells that what was done at a time has had the time to show in the notes.
+func (f *Front) settled(now, at int64) bool { return now-at >= int64(f.val("note.lag"))+settle }
+
+// short takes in a share: the link, or its uplink, is asked 1/share of what it gives.
 func (f *Front) short(now int64, at int, share float64) {
 	n := &f.nodes[at]
 	n.share, n.shareAt = share, now
@@ -721,197 +665,186 @@
 	}
 	if f.rackShort(now, at, share) {
 		n.seen = memory{}
-	} else if f.settled(now, n.seen.at) {
+	} else if n.seen.at == 0 || f.settled(now, n.seen.at) {
 		n.seen = memory{share * f.linkAsked(now, at) * f.capacity(now, at), now}
 	}
 	f.cut(now, at, 1/share, 1)
 }
 
-// shareNow is the share delivered at a node as far as it is told; silence is a full share.
-func (f *Front) shareNow(now int64, at int) float64 {
-	if n := &f.nodes[at]; n.share < shortUnder && now-n.shareAt < shortHolds {
-		return n.share
+// rackShort tells that the uplink is what is short: as told, or inferred where nobody reports it
+// from most links of the rack delivering short alike. Guards against weak or sagging uplinks.
+// It could harm where sick links of one rack are short alike: the rack then takes less for a while.
+func (f *Front) rackShort(now int64, at int, share float64) bool {
+	rk := f.nodes[at].rack
+	r := &f.racks[rk]
+	if f.val("reports.uplink") > 0 {
+		return r.link.at > 0 && r.link.asked >= roomMark
 	}
-	return 1
+	with, short := 0, 0
+	for i := range f.nodes {
+		if f.nodes[i].rack == rk && len(f.nodes[i].plays) > 0 {
+			with++
+			if s := f.shareNow(now, i); s < 1 && math.Abs(s-share) < alike {
+				short++
+			}
+		}
+	}
+	if short < 2 || 2*short <= with {
+		return false
+	}
+	if r.seen.at == 0 || f.settled(now, r.seen.at) {
+		r.seen = memory{share * f.rackSum(now, rk), now}
+	}
+	return true
 }
 
-// cut steps own plays down where a link is asked more than a mark, each front by its part of
-// the excess, those first that lose least for the rate they free.
+// cut steps own plays down where a link is asked more than a mark, each front by its part of the
+// excess, those first that lose least for the rate they free.
 func (f *Front) cut(now int64, at int, asks, mark float64) {
 	n := &f.nodes[at]
-	if asks <= mark || now-n.cutAt < int64(f.val("note.lag"))+settle && n.cutAt > 0 {
+	if asks <= mark || !f.settled(now, n.cutAt) {
 		return
 	}
 	goal := n.own * cutTo / asks
 	for n.own > goal {
-		var pick front.Handle
-		var best *ply
-		least := math.Inf(1)
-		for _, h := range n.plays {
-			p := f.plays.Get(h)
-			if p.stage != playing || p.rung <= f.floor(p) {
-				continue
+		h, p := f.best(at, func(p *ply) float64 {
+			if p.rung <= f.floor(p) {
+				return 0
 			}
-			if c := f.gain(p, p.rung) / (f.rate(p, p.rung) - f.rate(p, p.rung-1)); c < least {
-				least, pick, best = c, h, p
-			}
-		}
-		if best == nil {
+			return f.more(p, p.rung) / f.gain(p, p.rung)
+		})
+		if p == nil {
 			return
 		}
 		n.cutAt = now
-		freed := f.rate(best, best.rung) - f.rate(best, best.rung-1)
-		if f.rnd.Float()*freed > n.own-goal { // the last step only by its part: all fronts cut at once
+		if f.rnd.Float()*f.more(p, p.rung) > n.own-goal { // the last step by chance, by its part: all cut at once
 			return
 		}
-		f.setRung(now, pick, best, best.rung-1)
+		f.setRung(now, h, p, p.rung-1)
 	}
 }
 
-// raise steps one play of a node up if the next rate fits.
+// raise steps plays of a node up while the next rate fits, each front by its part of the room as
+// all see the same, those first that gain most for the rate.
 func (f *Front) raise(now int64, at int) {
 	n := &f.nodes[at]
-	quiet := int64(f.val("note.lag")) + settle
-	if f.shareNow(now, at) < 1 || now-n.cutAt < quiet && n.cutAt > 0 ||
-		now-n.raisedAt < quiet && n.link.at <= n.raisedAt {
+	if f.shareNow(now, at) < 1 || !f.settled(now, n.cutAt) ||
+		!f.settled(now, n.raisedAt) && n.link.at <= n.raisedAt {
 		return
 	}
 	room := f.room(now, at)
-	part := room / max(1, f.val("fronts")) // all fronts see the same room: each takes its part
+	part := room / max(1, f.val("fronts"))
 	for part > 0 {
-		var pick front.Handle
-		var best *ply
-		most := 0.0
-		for _, h := range n.plays {
-			p := f.plays.Get(h)
-			if p.stage != playing || p.rung >= min(f.top(p), f.reach()) || now-p.raised < upEvery {
-				continue
+		h, p := f.best(at, func(p *ply) float64 {
+			if p.rung >= min(f.top(p), f.reach()) || now-p.raised < upEvery || f.more(p, p.rung+1) > room {
+				return 0
 			}
-			more := f.rate(p, p.rung+1) - f.rate(p, p.rung)
 			left := max(leastLeft, now-p.started)
 			if p.want.Length > 0 {
 				left = max(0, p.taken+p.want.Length-now)
 			}
-			g := f.gain(p, p.rung+1)
-			price := f.val("switch.seconds") * f.of("product.importance", p.want.Product, 1)
-			if more <= room && g/more > most && g*float64(left)/float64(sec) > swapGain*price {
-				most, pick, best = g/more, h, p
+			gain := f.gain(p, p.rung+1)
+			if gain*float64(left)/float64(sec) <= swapGain*f.val("switch.seconds")*f.importance(p) {
+				return 0
 			}
-		}
-		if best == nil {
+			return gain / f.more(p, p.rung+1)
+		})
+		if p == nil {
 			return
 		}
 		if f.val("probing") > 0 && now-n.link.at > freshFor {
-			f.probe(now, at, 0) // a step up earns many times a probe's price
+			f.probe(now, at, 0) // unrationed: a step up earns many times a probe's price
 			return
 		}
 		n.raisedAt = now
-		more := f.rate(best, best.rung+1) - f.rate(best, best.rung)
+		more := f.more(p, p.rung+1)
 		if f.rnd.Float()*more > part { // a step larger than the part left is taken by chance
 			return
 		}
 		part, room = part-more, room-more
-		f.setRung(now, pick, best, best.rung+1)
+		f.setRung(now, h, p, p.rung+1)
 	}
 }
 
-// shed moves one play in shedEvery off a link that stays short when its plays are stepped down.
+// shed moves one play in shedEvery off a link that stays short with its plays stepped down.
 func (f *Front) shed(now int64, at int) {
 	n := &f.nodes[at]
-	if n.shortFrom == 0 || now-n.shareAt > shortHolds {
+	if now-n.shareAt > shortHolds {
 		n.shortFrom = 0
-		return
 	}
-	if now-n.shortFrom < checkGap || n.shedAt > 0 && now-n.shedAt < shedEvery {
+	if n.shortFrom == 0 || now-n.shortFrom < checkGap || now-n.shedAt < shedEvery {
 		return
 	}
-	var pick front.Handle
-	var best *ply
-	most := 0.0
-	for _, h := range n.plays {
-		p := f.plays.Get(h)
-		v := f.viewers[p.want.Viewer]
-		if p.stage != playing || v.moved && now-v.movedAt < moveEvery {
-			continue
-		}
-		if p.rung > f.floor(p) {
-			return // steps down come first
-		}
-		if c := f.rate(p, p.rung) / f.of("product.importance", p.want.Product, 1); c > most {
-			most, pick, best = c, h, p
-		}
+	if _, p := f.best(at, func(p *ply) float64 { return float64(p.rung - f.floor(p)) }); p != nil {
+		return // steps down come first
 	}
-	if best != nil {
+	h, p := f.best(at, func(p *ply) float64 {
+		if now-f.viewers[p.want.Viewer].movedAt < moveEvery {
+			return 0
+		}
+		return f.rate(p, p.rung) / f.importance(p)
+	})
+	if p != nil {
 		n.shedAt = now
-		v := &f.viewers[best.want.Viewer]
-		v.moved, v.movedAt, v.left, v.leftAt = true, now, at+1, now
-		f.res.Orders = append(f.res.Orders, front.Order{Play: pick, Do: front.Move})
+		f.viewers[p.want.Viewer] = viewer{at + 1, now, now}
+		f.order(front.Order{Play: h, Do: front.Move})
 	}
 }
 
 // ---- Health ----
 
-// recall notes for a viewer which node it left or failed on.
-func (f *Front) recall(now int64, p *ply, at int) {
-	v := &f.viewers[p.want.Viewer]
-	v.left, v.leftAt = at+1, now
-}
-
-// judge takes a set-up's end as a symptom. Guards against a node that fails or hangs while its
-// kind does well; a node that was only full or draining is not sick.
+// judge takes an allocation's end as a symptom. Guards against a node that fails, hangs or breaks
+// while its kind does well: it is skipped, then on probation until a set-up succeeds. One that
+// refused as full is left alone for a little and own plays there step down; what late reports say
+// of it counts for less than its refusal.
 func (f *Front) judge(now int64, at int, how front.Ending) {
 	n := &f.nodes[at]
 	switch how {
 	case front.TurnedAway:
-		n.refuseUntil = now + refusedFor<<min(n.refusals, refusedMost)
-		n.refusals++
+		n.skipUntil = max(n.skipUntil, now+refusedFor<<min(n.strikes, doublings))
+		n.strikes++
 		f.cut(now, at, max(f.linkAsked(now, at), fullMark), 0)
-	case front.NoConnect, front.Lost:
-		f.broke(now, at)
+	case front.NoConnect, front.Lost: // it may come back cold before the list says so
+		n.lostAt = now
+		fallthrough
 	case front.Errored, front.NoAnswer:
-		f.sick(now, at)
+		n.skipUntil = now + skipFor<<min(n.strikes, 1)
+		n.strikes++
+		n.trial = true
 	}
 }
 
-func (f *Front) sick(now int64, at int) {
-	n := &f.nodes[at]
-	n.skipUntil = now + skipFor<<min(n.fails, doubleAt)
-	n.fails++
-	n.trial = true
-}
-
-// broke marks a node whose process or path went away: it may come back cold before the list says.
-func (f *Front) broke(now int64, at int) {
-	f.nodes[at].lostAt = now
-	f.sick(now, at)
-}
-
 // healthy tells that a node is neither skipped nor busy with its one set-up on probation.
 func (f *Front) healthy(now int64, at int) bool {
 	n := &f.nodes[at]
 	return now >= n.skipUntil && !(n.trial && n.settingUp > 0)
 }
 
-// ---- The six rules ----
-// One answer: giveUp drops the play it answers. Drains: holds asks for a ready node.
+// ---- The six rules: each by one piece of code ----
+
+// giveUp answers a play, once as it drops it. A paid one that may have run fails; others are declined.
+func (f *Front) giveUp(h front.Handle, p *ply) {
+	if f.paid(p) && p.mayHave {
+		f.order(front.Order{Play: h, Do: front.Fail})
+	} else {
+		f.order(front.Order{Play: h, Do: front.Decline,
+			ComeBack: int64(min(1, f.val("comeback")) * f.val("comeback.most"))})
+	}
+	f.plays.Drop(h)
+}
 
 func (f *Front) paid(p *ply) bool { return f.of("product.paid", p.want.Product, 1) > 0 }
 
 // mayAgain keeps a paid play from running twice and further allocations within the budget.
 func (f *Front) mayAgain(now int64, p *ply) bool {
-	if p.try < 0 {
-		return true
-	}
-	if f.paid(p) && p.mayHave {
-		return false
-	}
 	over := int64(f.val("budget.over"))
-	if over == 0 {
-		return true
+	if p.try < 0 || over == 0 {
+		return p.try < 0 || !f.paid(p) || !p.mayHave
 	}
 	f.taken = since(f.taken, now-over+budgetEdge)
 	f.again = since(f.again, now-over-budgetEdge)
-	return float64(len(f.again)+1) <= f.val("budget.free")+f.val("budget.share")*float64(len(f.taken))
+	most := f.val("budget.free") + f.val("budget.share")*float64(len(f.taken))
+	return !(f.paid(p) && p.mayHave) && float64(len(f.again)+1) <= most
 }
 
 // since drops times before a moment, in place.
@@ -923,47 +856,38 @@
 	return times[:copy(times, times[k:])]
 }
 
-// warmSince is the start that a node's warming counts from: the list's, or a return that we saw.
-func (f *Front) warmSince(at int) int64 {
-	n := &f.nodes[at]
-	return max(n.started, n.backAt)
-}
-
-// warmth is the share of its power that a node has at least.
+// warmth is the least share of its power that a node has: it warms from its start, or from a
+// return that this front saw.
 func (f *Front) warmth(now int64, at int) float64 {
-	from, age, lasts := f.warmSince(at), float64(now-f.warmSince(at)), f.val("cold.lasts")
-	if from == 0 || age >= lasts {
+	start := max(f.nodes[at].started, f.nodes[at].backAt)
+	age := float64(now-start) / f.val("cold.lasts")
+	if start == 0 || age >= 1 {
 		return 1
 	}
-	return f.val("cold.share") + (1-f.val("cold.share"))*max(0, age)/lasts
+	return f.val("cold.share") + (1-f.val("cold.share"))*max(0, age)
 }
 
 // turnOf numbers the turns of a cold node since its start: one set-up each, the fronts in rotation.
-// Together the turns stay under the allowance of any window, its one early send included.
+// Together they stay under the allowance of any window, one early set-up included.
 func (f *Front) turnOf(now int64, at int) (turn int64, cold bool) {
-	start, lasts := f.warmSince(at), f.val("cold.lasts")
-	if f.warmth(now, at) >= 1 {
+	warmth := f.warmth(now, at)
+	if warmth >= 1 {
 		return 0, false
 	}
-	age := float64(max(0, now-start))
-	share := f.val("cold.share") + (1-f.val("cold.share"))*age/lasts/2 // mean since the start
-	perTick := f.val("fall.multiple") * f.of("kind.streams", f.nodes[at].kind, 1) / lasts * share / coldMargin
-	return int64(age * max(perTick-1/f.val("fall.over"), perTick/2)), true
+	n := &f.nodes[at]
+	age := float64(max(0, now-max(n.started, n.backAt)))
+	pace := f.val("fall.multiple") * f.of("kind.streams", n.kind, 1) / f.val("cold.lasts")
+	pace *= (f.val("cold.share") + warmth) / 2 / coldMargin // the mean since its start
+	return int64(age * max(pace-1/f.val("fall.over"), pace/2)), true
 }
 
-// pace tells that this front may set up at a node: always on a warm one, else in its turn.
+// pace tells that this front may set up at a node: always on a warm one, else once in its turn.
 func (f *Front) pace(now int64, at int) bool {
 	turn, cold := f.turnOf(now, at)
 	fronts := max(1, int64(f.val("fronts")))
 	return !cold || turn%fronts == int64(f.val("front"))%fronts && turn != f.nodes[at].slot
 }
 
-func (f *Front) useSlot(now int64, at int) {
-	if turn, cold := f.turnOf(now, at); cold {
-		f.nodes[at].slot = turn
-	}
-}
-
 // seat is the count of plays held of a play's title and product.
 func (f *Front) seat(p *ply) *int32 {
 	i := p.want.Title*len(f.set["product.paid"]) + p.want.Product
@@ -978,7 +902,7 @@
 	return most == 0 || float64(*f.seat(p)) < most
 }
 
-// bind and unbind enter a play at a node: its seat, its rate and its place in the node's list.
+// bind and unbind enter a play at a node and take it out: its seat, its rate, its place in the list.
 func (f *Front) bind(h front.Handle, p *ply, at int) {
 	p.node = at
 	n := &f.nodes[at]
--- a/choice/state.go
+++ b/choice/state.go
@@ -20,8 +20,9 @@
 	taken   []int64 // when plays were taken, within the budget's window
 	again   []int64 // when further allocations were made, within the same
 	samples int     // |W|
-	probes  float64 // probes that may be sent now
 	level   float64 // mean rung of own plays that could still rise
+	probes  float64 // probes that may be sent now
+	cands   []cand
 	res     front.Result
 }
 
@@ -31,38 +32,36 @@
 	sum   float64
 }
 
-// node is a playout node.
+// node is a playout node. Times that never were are long past.
 type node struct {
-	listed      bool
-	phase       front.Phase
-	kind        int
-	zone        int
-	cell        int
-	rack        int
-	started     int64
-	weight      float64
-	plays       []front.Handle
-	own         float64 // rates of own plays, kB a second
-	link        account
-	seen        memory
-	share       float64 // last share told while short; 1 otherwise
-	shareAt     int64
-	shortFrom   int64 // since when it is short; 0 is not
-	cutAt       int64 // last step-down here
-	raisedAt    int64 // last step-up here
-	shedAt      int64 // last play moved away
-	fails       int   // symptoms in a row
-	skipUntil   int64
-	trial       bool // on probation: one set-up at a time
-	settingUp   int
-	refusals    int // refused as full so often in a row
-	refuseUntil int64
-	lostAt      int64 // last seen to break
-	backAt      int64 // first play after that
-	slot        int64 // last cold slot used
-	probedAt    int64
-	probing     bool
-	told        front.Load // the last report
+	listed    bool
+	phase     front.Phase
+	kind      int
+	zone      int
+	cell      int
+	rack      int
+	started   int64
+	weight    float64
+	plays     []front.Handle
+	own       float64 // rates of own plays, kB a second
+	link      account
+	seen      memory
+	told      front.Load // the last report
+	share     float64    // last share told
+	shareAt   int64
+	shortFrom int64 // since when it is short; 0 is not
+	cutAt     int64 // last step down here
+	raisedAt  int64 // last step up here
+	shedAt    int64 // last play moved away
+	probedAt  int64
+	probing   bool
+	strikes   int // failures or refusals in a row
+	skipUntil int64
+	trial     bool // on probation: one set-up at a time
+	settingUp int
+	lostAt    int64 // last seen to break
+	backAt    int64 // first play after that
+	slot      int64 // last cold turn used
 }
 
 // rack is a rack and its uplink.
@@ -85,6 +84,14 @@
 	at    int64   // 0 is never
 }
 
+// cand is a holder that may be given a set-up now.
+type cand struct {
+	at   int
+	room float64 // kB a second
+	used float64 // asked over given
+	rung int
+}
+
 // stage is how far a play has come.
 type stage uint8
 
@@ -97,25 +104,22 @@
 
 // ply is a play in hand.
 type ply struct {
-	want      front.Want
-	stage     stage
-	node      int
-	rung      int
-	try       int // number of the last allocation; -1 is none
-	mayHave   bool
-	taken     int64
-	sent      int64
-	started   int64
-	raised    int64 // last step up
-	sampled   bool
-	avoid     int   // node of its last failure, from 1; 0 is none
-	holdUntil int64 // held no longer than this
+	want    front.Want
+	stage   stage
+	node    int
+	rung    int
+	try     int  // number of the last allocation; -1 is none
+	mayHave bool // an earlier allocation may have run
+	taken   int64
+	sent    int64
+	started int64
+	raised  int64 // last step up
+	sampled bool
 }
 
 // viewer is what outlasts a play: a viewer's key comes again with a new play.
 type viewer struct {
-	left    int // node left or failed, from 1; 0 is none
+	left    int // node left or failed on, from 1; 0 is none
 	leftAt  int64
-	moved   bool
 	movedAt int64
 }
--- a/front/front.go
+++ b/front/front.go
@@ -109,7 +109,7 @@
 	// Adopt hands over a play that already plays on a node.
 	Adopt(now int64, w Want, node int) (Handle, *Result)
 	// Started says that the play's allocation plays.
-	Started(now int64, h Handle, try int, took int64) *Result
+	Started(now int64, h Handle, try int) *Result
 	// Ended says how allocation try ended; over, that the play is finished with it.
 	Ended(now int64, h Handle, try int, how Ending, over bool, load Load) *Result
 	// Delivered tells the share of its rate that the play's node delivers.
--- a/internal/heath/host.go
+++ b/internal/heath/host.go
@@ -241,7 +241,7 @@
 		}
 		switch ln.name {
 		case "ACK_FIRST":
-			h.encode(in, in.mod.Started(now, hd, int(ln.whole("send-no")), ticks(ln.numberOr("took-ms", 0))))
+			h.encode(in, in.mod.Started(now, hd, int(ln.whole("send-no"))))
 		case "UPDATE_OF":
 			h.encode(in, in.update(ln, now, hd))
 		case "CLIENT_LEFT":
