--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,441 @@
+package choice
+
+import (
+	"math"
+	"testing"
+
+	"gullrail/front"
+)
+
+func TestDeclinedAtOnceWhenNobodyHoldsTheTitle(t *testing.T) {
+	f := fleet(2)
+	w := want(0)
+	w.Home, w.Copies = 2, 2
+	h, r := f.Take(now, w)
+	if o := sole(t, r); o.Do != front.Decline || o.ComeBack != 5000 {
+		t.Fatalf("got %+v", o)
+	}
+	if f.plays.Get(h) != nil {
+		t.Fatal("an answered play is still in hand")
+	}
+}
+
+func TestStaleHandleDoesNothing(t *testing.T) {
+	f := fleet(1)
+	h, _ := f.Take(now, want(0))
+	f.Ended(now, h, 0, front.Served, true, front.Untold)
+	if r := f.Ended(now, h, 0, front.Errored, false, front.Untold); len(r.Orders) != 0 {
+		t.Fatalf("got %+v", r.Orders)
+	}
+}
+
+func TestExploresLessAsSamplesGrow(t *testing.T) {
+	f := fleet(2)
+	f.kinds[0], f.kinds[1] = kind{50, 50}, kind{50, -50}
+	f.samples = 10000
+	better := 0
+	for range 400 {
+		if at, _ := f.choose(now, &ply{want: want(0), try: -1}); at == 0 {
+			better++
+		}
+	}
+	// epsFloor explores 5%, half of that on the worse kind.
+	if better < 370 || better == 400 {
+		t.Fatalf("better kind taken %d times of 400", better)
+	}
+}
+
+func TestKindsWithinTheTieWidthAreEqual(t *testing.T) {
+	f := fleet(2)
+	f.samples = 1 << 40 // explores at the floor only
+	f.kinds[0], f.kinds[1] = kind{10, 5}, kind{10, 4.2}
+	f.nodes[0].link = account{now, 0.4, 0}
+	other := 0
+	for range 100 {
+		if at, _ := f.choose(now, &ply{want: want(0), try: -1}); at == 1 {
+			other++
+		}
+	}
+	if other < 90 {
+		t.Fatalf("roomier node of a tied kind taken %d times of 100", other)
+	}
+}
+
+func TestUnsampledKindCountsAsTheMean(t *testing.T) {
+	f := fleet(2)
+	f.sample(0, 0.5)
+	f.sample(0, -0.1)
+	if m := f.mean(1); math.Abs(m-0.2) > 1e-9 {
+		t.Fatalf("got %v", m)
+	}
+}
+
+func TestLeastUsedWithoutRoom(t *testing.T) {
+	f := fleet(3)
+	for i, x := range []float64{0.97, 0.9, 0.95} {
+		f.nodes[i].link = account{now, x, 0}
+		f.nodes[i].kind = 0
+	}
+	f.nodes[1].link.at = never // known for long: never a reason to turn away
+	if at, _ := f.choose(now, &ply{want: want(0), try: -1}); at != 1 {
+		t.Fatalf("took node %d", at)
+	}
+}
+
+func TestViewersLeftNodeIsSkipped(t *testing.T) {
+	f := fleet(2)
+	f.viewers = []viewer{{left: 1, leftAt: now - skipFor/2, movedAt: never}}
+	for range 50 {
+		if at, _ := f.choose(now, &ply{want: want(0), try: -1}); at != 1 {
+			t.Fatal("the node left was taken again")
+		}
+	}
+}
+
+func TestOwnZoneFirstAmongEqualRungs(t *testing.T) {
+	f := fleet(2)
+	f.nodes[0].zone = 1
+	for range 50 {
+		if at, _ := f.choose(now, &ply{want: want(0), try: -1}); at != 1 {
+			t.Fatal("crossed zones for the same rung")
+		}
+	}
+}
+
+func TestPayoffOnceAtTenSecondsAndForFailures(t *testing.T) {
+	f := fleet(1)
+	playingAt(f, 0, 0, 0, now-payoffAt)
+	f.nodes[0].share, f.nodes[0].shareAt = 0.8, now
+	f.Wake(now)
+	f.Wake(now + 1)
+	if k := f.kinds[0]; k.count != 1 || math.Abs(k.sum-0.6) > 1e-9 {
+		t.Fatalf("got %+v", k)
+	}
+	f.nodes[0].share = 1
+	h, _ := f.Take(now, want(0))
+	f.Ended(now, h, 0, front.Errored, false, front.Untold)
+	if k := f.kinds[0]; k.count != 2 || math.Abs(k.sum+0.4) > 1e-9 {
+		t.Fatalf("after a failure: %+v", k)
+	}
+}
+
+func TestSetUpKeepsLinkAndUplinkUnderTheMark(t *testing.T) {
+	f := fleet(1)
+	f.nodes[0].link = account{now, 0.6, 0}
+	if r := f.fit(&ply{want: want(0)}, f.room(now, 0)); r != 1 {
+		t.Fatalf("link at 0.6: rung %d", r)
+	}
+	f.set["uplink.rate"] = []float64{850}
+	if r := f.fit(&ply{want: want(0)}, f.room(now, 0)); r != 0 {
+		t.Fatalf("uplink near full: rung %d", r)
+	}
+}
+
+func TestRungsKeepTheirSpacing(t *testing.T) {
+	f := fleet(1)
+	f.level = 0
+	if r := f.fit(&ply{want: want(0)}, 1e9); r != 1 {
+		t.Fatalf("rung %d over plays at 0", r)
+	}
+}
+
+func TestAccountHoldsReportAndOwnChangesSince(t *testing.T) {
+	f := fleet(1)
+	playingAt(f, 0, 0, 1, 0)
+	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1})
+	playingAt(f, 0, 0, 1, now)
+	if a := f.linkAsked(now, 0); math.Abs(a-0.7) > 1e-9 {
+		t.Fatalf("got %v", a)
+	}
+	f.nodes[0].link.asked = 0.1
+	if a := f.linkAsked(now, 0); math.Abs(a-0.4) > 1e-9 {
+		t.Fatalf("own plays alone ask 0.4, got %v", a)
+	}
+}
+
+func TestRepeatedReportIsNoNews(t *testing.T) {
+	f := fleet(1)
+	same := front.Load{Streams: 3, Link: 0.5, Uplink: -1}
+	f.report(now, 0, same)
+	playingAt(f, 0, 0, 1, 0)
+	f.report(now+sec, 0, same)
+	if a := f.linkAsked(now, 0); math.Abs(a-0.7) > 1e-9 {
+		t.Fatalf("a frozen report wiped an own set-up: %v", a)
+	}
+}
+
+func TestCutStepsDownThoseThatLoseLeast(t *testing.T) {
+	f := fleet(1)
+	a, _ := playingAt(f, 0, 0, 2, 0)
+	b, _ := playingAt(f, 0, 1, 2, 0)
+	high, dear := f.plays.Get(a), f.plays.Get(b)
+	f.begin()
+	f.cut(now, 0, 1.3, overMark)
+	if high.rung == 2 || dear.rung != 2 {
+		t.Fatalf("rungs %d and %d", high.rung, dear.rung)
+	}
+	before := f.nodes[0].own
+	f.cut(now+sec, 0, 1.3, overMark)
+	if f.nodes[0].own != before {
+		t.Fatal("cut again before the first could show")
+	}
+}
+
+func TestRaiseTakesThisFrontsPart(t *testing.T) {
+	f := fleet(1)
+	for range 8 {
+		playingAt(f, 0, 0, 0, 0)
+	}
+	f.nodes[0].link = account{now, 0.2, f.nodes[0].own}
+	f.nodes[0].link.own = f.nodes[0].own
+	f.begin()
+	f.raise(now, 0)
+	// Own plays ask 0.8, so room is 50: too little for a step of 100.
+	if len(f.res.Orders) != 0 {
+		t.Fatalf("raised past the mark: %+v", f.res.Orders)
+	}
+	f.set["weight.rate"] = []float64{2000}
+	f.raise(now, 0) // room 900, this front's part 450
+	if n := len(f.res.Orders); n < 4 || n > 5 {
+		t.Fatalf("%d steps", n)
+	}
+}
+
+func TestStepUpOnceInTenSeconds(t *testing.T) {
+	f := fleet(1)
+	_, p := playingAt(f, 0, 0, 0, 0)
+	p.raised = now - upEvery/2
+	f.begin()
+	f.raise(now, 0)
+	if p.rung != 0 {
+		t.Fatal("stepped up twice in ten seconds")
+	}
+}
+
+func TestShedMovesOneOnceStepsDownAreDone(t *testing.T) {
+	f := fleet(2)
+	playingAt(f, 0, 0, 0, 0)
+	_, p := playingAt(f, 0, 0, 1, 0)
+	n := &f.nodes[0]
+	n.share, n.shareAt, n.shortFrom = 0.8, now, now-checkGap
+	f.begin()
+	f.shed(now, 0)
+	if count(&f.res, front.Move) != 0 {
+		t.Fatal("moved while a step down was left")
+	}
+	f.rerate(p, 0)
+	f.shed(now, 0)
+	f.shed(now+sec, 0)
+	if count(&f.res, front.Move) != 1 {
+		t.Fatalf("got %+v", f.res.Orders)
+	}
+	n.shareAt = now + shedEvery
+	f.shed(now+shedEvery, 0)
+	n.shareAt = now + 2*shedEvery
+	f.shed(now+2*shedEvery, 0)
+	if count(&f.res, front.Move) != 2 {
+		t.Fatalf("a viewer was moved twice in 5 min: %+v", f.res.Orders)
+	}
+}
+
+func TestUplinkInferredFromItsRack(t *testing.T) {
+	f := fleet(4) // cells 0 and 2 share a rack
+	playingAt(f, 0, 0, 2, 0)
+	playingAt(f, 2, 0, 2, 0)
+	f.begin()
+	f.short(now, 0, 0.9)
+	f.short(now, 2, 0.9)
+	if got := f.uplink(now, 0); math.Abs(got-0.9*f.rackSum(now, 0)) > 200 || f.racks[1].seen.at != 0 {
+		t.Fatalf("uplink counts as %v", got)
+	}
+}
+
+func TestShortLinkRegainsRoomSlowly(t *testing.T) {
+	seen := memory{500, now}
+	if a, b := regained(now+5*sec, seen, 1000), regained(now+regain, seen, 1000); a > 530 || b < 1000 {
+		t.Fatalf("after 5 s %v, after regain %v", a, b)
+	}
+}
+
+func TestSickNodeIsSkippedThenOnProbation(t *testing.T) {
+	f := fleet(1)
+	h, _ := f.Take(now, want(0))
+	f.Ended(now, h, 0, front.Errored, false, front.Untold)
+	later := int64(now + skipFor)
+	if f.healthy(later-1, 0) || !f.healthy(later, 0) {
+		t.Fatal("not skipped for skipFor")
+	}
+	w := want(0)
+	w.Limit = later + 4*sec
+	h, _ = f.Take(later, w)
+	if f.healthy(later, 0) {
+		t.Fatal("two set-ups out on probation")
+	}
+	f.Started(later, h, 0)
+	if !f.healthy(later, 0) {
+		t.Fatal("not back after a success")
+	}
+}
+
+func TestPaidPlayKeepsOffProbation(t *testing.T) {
+	f := fleet(2)
+	f.nodes[0].trial = true
+	for range 30 {
+		if at, _ := f.choose(now, &ply{want: want(1), try: -1}); at != 1 {
+			t.Fatal("a paid play tried a node on probation")
+		}
+	}
+}
+
+func TestRefusingNodeIsLeftAlone(t *testing.T) {
+	f := fleet(1)
+	f.nodes[0].settingUp = 1
+	f.judge(now, 0, front.TurnedAway)
+	if f.healthy(now+refusedFor-1, 0) || !f.healthy(now+refusedFor, 0) || f.nodes[0].trial {
+		t.Fatal("want a short skip without probation")
+	}
+}
+
+func TestFullLinkOfPlaysOnTheirFloorsTakesNoMore(t *testing.T) {
+	f := fleet(1)
+	_, p := playingAt(f, 0, 0, 0, 0)
+	f.nodes[0].link = account{now, 1.0, f.nodes[0].own}
+	if !f.full(now, 0, f.used(now, 0), 100) {
+		t.Fatal("one more on a link all asked for")
+	}
+	f.rerate(p, 2)
+	if f.full(now, 0, f.used(now, 0), 100) {
+		t.Fatal("turned away though a play can step down")
+	}
+	f.rerate(p, 0)
+	if f.full(now+fullFor+1, 0, f.used(now, 0), 100) {
+		t.Fatal("turned away on an old figure")
+	}
+}
+
+func TestPaidPlayThatMayHaveRunFails(t *testing.T) {
+	f := fleet(2)
+	h, r := f.Take(now, want(1))
+	if o := sole(t, r); o.Until != now+4*sec {
+		t.Fatalf("a paid play waits to its limit, got %+v", o)
+	}
+	if o := sole(t, f.Ended(now, h, 0, front.Errored, false, front.Untold)); o.Do != front.Fail {
+		t.Fatalf("got %+v", o)
+	}
+}
+
+func TestPaidPlayIsSentAgainOnProof(t *testing.T) {
+	f := fleet(2)
+	h, _ := f.Take(now, want(1))
+	if o := sole(t, f.Ended(now, h, 0, front.NoConnect, false, front.Untold)); o.Do != front.Place {
+		t.Fatalf("got %+v", o)
+	}
+}
+
+func TestSafePlayLeavesTimeForAnother(t *testing.T) {
+	f := fleet(2)
+	_, r := f.Take(now, want(0))
+	if o := sole(t, r); o.Until != now+sec/2 {
+		t.Fatalf("until %d after", o.Until-now)
+	}
+}
+
+func TestBudgetOfFurtherAllocations(t *testing.T) {
+	f := fleet(1)
+	p := &ply{want: want(0), try: 0}
+	f.taken = []int64{now - 9*sec, now}
+	f.again = []int64{now - 9*sec}
+	if !f.mayAgain(now, p) {
+		t.Fatal("second of two free ones was withheld")
+	}
+	f.again = append(f.again, now)
+	if f.mayAgain(now, p) {
+		t.Fatal("third within the window was allowed")
+	}
+	if !f.mayAgain(now+2*sec, p) {
+		t.Fatal("one that left the window still counts")
+	}
+}
+
+func TestDrainingNodeGetsNothing(t *testing.T) {
+	f := fleet(1)
+	f.Nodes(now, []front.Node{{Index: 0, Phase: front.Draining, Weight: 1}}, false)
+	if _, r := f.Take(now, want(0)); sole(t, r).Do != front.Decline {
+		t.Fatal("a draining node was given a play")
+	}
+}
+
+func TestColdNodeIsPacedByTurns(t *testing.T) {
+	one, two := fleet(1), fleet(1, func(s map[string][]float64) { s["front"] = []float64{1} })
+	sent := 0
+	for _, f := range []*Front{one, two} {
+		f.nodes[0].started, f.nodes[0].slot = now, -1
+	}
+	most, window := 0, []int64{}
+	for at := int64(now); at < now+12*sec; at += 100 {
+		for _, f := range []*Front{one, two} {
+			if f.pace(at, 0) {
+				f.nodes[0].slot, _ = f.turnOf(at, 0)
+				window = append(window, at)
+				sent++
+			}
+		}
+		window = since(window, at-int64(one.val("fall.over")))
+		most = max(most, len(window))
+	}
+	// 2.5 times 20 streams in 12 s at 0.4 or more: 1.7 in the first second, 4.2 in the last.
+	if most > 4 || sent < 6 {
+		t.Fatalf("%d in one window, %d in all", most, sent)
+	}
+}
+
+func TestBrokenNodeComesBackCold(t *testing.T) {
+	f := fleet(1)
+	f.judge(now, 0, front.Lost)
+	back := int64(now + 30*sec)
+	w := want(0)
+	w.Limit = back + 4*sec
+	h, _ := f.Take(back, w)
+	f.Started(back, h, 0)
+	if w := f.warmth(back, 0); w != 0.4 {
+		t.Fatalf("warmth %v right after its return", w)
+	}
+}
+
+func TestSeatsCountSetUpsAndAdoptedPlays(t *testing.T) {
+	f := fleet(2)
+	f.Adopt(now, want(1), 0)
+	f.Take(now, want(1))
+	if _, r := f.Take(now, want(1)); sole(t, r).Do != front.Decline {
+		t.Fatal("a third play on two seats")
+	}
+}
+
+func TestFloorIsKept(t *testing.T) {
+	f := fleet(1)
+	h, _ := f.Adopt(now, want(1), 0)
+	if o := sole(t, f.Told(now, h, 0)); o.Do != front.SetRung || o.Rung != 1 {
+		t.Fatalf("got %+v", o)
+	}
+	f.begin()
+	f.cut(now, 0, 5, overMark)
+	if p := f.plays.Get(h); p.rung != 1 {
+		t.Fatalf("cut to rung %d", p.rung)
+	}
+}
+
+func TestOrdinaryPathAllocatesNothing(t *testing.T) {
+	f := fleet(4)
+	w := want(0)
+	at := int64(now)
+	if n := testing.AllocsPerRun(2000, func() {
+		at += sec
+		w.Limit = at + 4*sec
+		h, _ := f.Take(at, w)
+		f.Started(at, h, 0)
+		f.Wake(at)
+		f.Ended(at, h, 0, front.Served, true, front.Untold)
+	}); n != 0 {
+		t.Fatalf("%v allocations a play", n)
+	}
+}
--- /dev/null
+++ b/choice/helper_test.go
@@ -0,0 +1,74 @@
+package choice
+
+import (
+	"testing"
+
+	"gullrail/front"
+)
+
+const now = 1_000_000
+
+// settings of a small fleet: two kinds, three rungs, product 0 safe, product 1 paid with a floor
+// of rung 1 and two seats.
+func settings() map[string][]float64 {
+	return map[string][]float64{
+		"fronts": {2}, "front": {0}, "cells": {4}, "racks": {2}, "kind.streams": {20, 20},
+		"rung.rate": {100, 200, 400}, "rung.worth": {0.3, 0.6, 1}, "weight.rate": {1000},
+		"uplink.rate": {10000}, "reports.uplink": {0}, "tries": {4}, "zone": {0},
+		"product.rate": {1, 1}, "product.paid": {0, 1}, "product.floor": {0, 1}, "product.seats": {0, 2},
+		"product.importance": {1, 2}, "product.target": {10000, 10000}, "product.limit": {40000, 40000},
+		"comeback": {1}, "comeback.most": {5000}, "recall": {1}, "note.lag": {10000},
+		"switch.seconds": {0.5}, "cold.share": {0.4}, "cold.lasts": {120000},
+		"fall.multiple": {2.5}, "fall.over": {10000}, "drain.grace": {5000},
+		"budget.over": {100000}, "budget.free": {2}, "budget.share": {0.1},
+	}
+}
+
+// fleet makes a front with n warm nodes, one to a cell, that knows its plays' level as the top.
+func fleet(n int, change ...func(map[string][]float64)) *Front {
+	set := settings()
+	for _, c := range change {
+		c(set)
+	}
+	f := New(set, 7)
+	var list []front.Node
+	for i := range n {
+		list = append(list, front.Node{Index: i, Cell: i, Kind: i % 2, Weight: 1})
+	}
+	f.Nodes(0, list, true)
+	f.level = 2
+	f.viewers = []viewer{{movedAt: never}}
+	return f
+}
+
+func want(product int) front.Want {
+	return front.Want{Product: product, Limit: now + 4*sec, Home: 0, Copies: 4, Top: 2}
+}
+
+// playingAt adds a play that has played on a node since a time.
+func playingAt(f *Front, at, product, rung int, since int64) (front.Handle, *ply) {
+	w := want(product)
+	w.Viewer = len(f.viewers)
+	h, p := f.accept(since, w)
+	p.try, p.stage, p.started, p.rung, p.raised = 0, playing, since, rung, never
+	f.bind(h, p, at)
+	return h, f.plays.Get(h)
+}
+
+// sole returns the only order of a result.
+func sole(t *testing.T, r *front.Result) front.Order {
+	t.Helper()
+	if len(r.Orders) != 1 {
+		t.Fatalf("want one order, got %+v", r.Orders)
+	}
+	return r.Orders[0]
+}
+
+func count(r *front.Result, do front.Do) (n int) {
+	for _, o := range r.Orders {
+		if o.Do == do {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/heath/heath_test.go
@@ -0,0 +1,86 @@
+package heath
+
+import (
+	"bufio"
+	"strings"
+	"testing"
+
+	"gullrail/front"
+)
+
+const config = `{"balancers":1,"me":0,"zone":"a","localities":["a"],"shapes":["k"],"new-key":[{"x":1}],` +
+	`"family-info":{"places":4,"shelves":1,"kind-streams":[9],"rung-kb":[100,200],"ladder-worth":[0.4,1],` +
+	`"rate-factor":[1],"weight-kb":1000},"limits":{"most-tries":3},` +
+	`"lanes":[{"name":"s","effect":"read_like","objective-ms":1000,"deadline-ms":3000,"worth":1}],` +
+	`"safety":{"cold-share":0.4,"warm-after-ms":9000,"drain-grace-ms":500,"fall-multiple":2,"fall-ms":900},` +
+	`"report":{"columns":["inflight","x0"]}}`
+
+const spawn = "TO who=0\nSPAWN random-seed=1 config=" + config + "\n"
+const rowA = "ROW phase=ready node=1.1.1.1:1 campus=a place=0 generation-hw=k\n"
+const list = "DEFINE_LIST page=0 records=1\n" + rowA + "ANNOUNCE page=0 index=1 how=restored\n"
+const incoming = "INCOMING job=7 service=s object=v asset=t left-ms=3000 start-cell=0 span=2 best-rung=1\n"
+
+func mark(n, body string) string { return "MARK ts-ms=100.5 n=" + n + "\n" + body + "EOB\n" }
+
+func run(in string) (string, error) {
+	var out strings.Builder
+	err := Run(strings.NewReader(in), &out)
+	return out.String(), err
+}
+
+func TestGoodInput(t *testing.T) {
+	for name, c := range map[string]struct{ in, reply string }{
+		"empty batch":             {mark("1", ""), "ACK n=1\n"},
+		"placed":                  {mark("1", spawn+list+incoming), "FORWARD job=7 not-past-ms=600.5 node=1.1.1.1:1"},
+		"nobody holds it":         {mark("1", spawn+list+strings.Replace(incoming, "cell=0", "cell=1", 1)), "NOT_NOW job=7"},
+		"list of no nodes":        {mark("1", spawn+list+"DEFINE_LIST page=1 records=0\nANNOUNCE page=1 index=2 how=replace\n"+incoming), "NOT_NOW job=7"},
+		"time limit already past": {mark("1", spawn+list+strings.Replace(incoming, "3000", "0", 1)), "NOT_NOW job=7"},
+		"number of list used again": {mark("1", spawn+"DEFINE_LIST page=0 records=0\n"+list+incoming),
+			"FORWARD job=7"},
+		"killed and started at once": {mark("1", spawn+list+incoming+"POWER_OFF\n"+spawn+list+
+			strings.Replace(incoming, "job=7", "job=8", 1)), "FORWARD job=8"},
+		"unknown event and field": {mark("1", spawn+list+"NEWS job=1\n"+strings.Replace(incoming, "job", "x=1 job", 1)), "FORWARD job=7"},
+		"event for a finished play": {mark("1", spawn+list+"RESPONSE job=5 rc=served send-no=0 node=1.1.1.1:1\nCLIENT_LEFT job=6\n"),
+			"ACK n=1\n"},
+	} {
+		out, err := run(c.in)
+		if err != nil || !strings.Contains(out, c.reply) || !strings.HasSuffix(out, "ACK n=1\n") {
+			t.Errorf("%s: %v\n%s", name, err, out)
+		}
+	}
+}
+
+func TestBadInputEndsTheRunNamingThePlace(t *testing.T) {
+	for name, c := range map[string]struct{ in, says string }{
+		"part without a value": {mark("3", "TO who\n"), `batch 3, line 2: part "who"`},
+		"number unreadable":    {mark("3", "TO who=x\n"), "batch 3, line 2: TO: field who: not a whole number"},
+		"field missing":        {mark("3", spawn+list+"INCOMING job=1\n"), "line 7: INCOMING: field service: missing"},
+		"list never defined":   {mark("3", spawn+"ANNOUNCE page=4 index=1 how=replace\n"), "line 4: ANNOUNCE: field page"},
+		"rows missing":         {mark("3", "DEFINE_LIST page=0 records=2\n"+rowA), "line 4: EOB: 1 rows"},
+		"setting missing": {mark("3", strings.Replace(spawn, `"most-tries":3`, `"x":1`, 1)),
+			"SPAWN: field config.limits.most-tries: missing"},
+		"cut off in a batch": {"MARK ts-ms=1 n=3\nTO who=0\n", "batch 3, line 2: input ends before EOB"},
+		"outside a batch":    {"TO who=0\n", "outside a batch"},
+	} {
+		if out, err := run(c.in); err == nil || !strings.Contains(err.Error(), c.says) {
+			t.Errorf("%s: %v\n%s", name, err, out)
+		}
+	}
+}
+
+func TestPanicOfADecisionIsReported(t *testing.T) {
+	var out strings.Builder
+	h := &host{out: bufio.NewWriter(&out), inBatch: true, last: -1, at: map[int64]*instance{
+		0: {mod: panicker{}, plays: map[int64]front.Handle{}}}}
+	if err := h.decode("TIMER ref=1"); err != nil {
+		t.Fatal(err)
+	}
+	h.out.Flush()
+	if want := "CONTEXT who=0\nBAIL_OUT note-text=broken\n"; out.String() != want {
+		t.Fatalf("got %q", out.String())
+	}
+}
+
+type panicker struct{ front.Chooser }
+
+func (panicker) Wake(int64) *front.Result { panic("broken") }
--- a/internal/heath/host.go
+++ b/internal/heath/host.go
@@ -6,6 +6,7 @@
 	"os"
 	"runtime/debug"
 	"strconv"
+	"strings"
 
 	"gullrail/choice"
 	"gullrail/front"
@@ -72,7 +73,8 @@
 			if !h.failed {
 				h.failed = true
 				h.context()
-				fmt.Fprintf(h.out, "BAIL_OUT note-text=%q\n", fmt.Sprint(r))
+				text := strings.ReplaceAll(fmt.Sprint(r), "\n", " ")
+				fmt.Fprintf(h.out, "BAIL_OUT note-text=%s\n", text)
 			}
 		}
 	}()
