--- a/choice/choice.go
+++ b/choice/choice.go
@@ -567,6 +567,8 @@
 	for _, h := range n.plays {
 		if p := f.plays.Get(h); now-p.sent < reportLag {
 			late += f.rate(p, p.rung)
+		} else if now-p.raised < reportLag {
+			late += f.more(p, p.rung)
 		}
 	}
 	if l.Link >= 0 {
