Mend a panic on a report about a play raised and cut to the bottom rung

Cause: a step up within the last 0.6 s was added to the report though a cut had taken it back already. Test: a report on such a play.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -72,7 +72,7 @@
 
 // of is a setting's value for one product, kind or rung, or else what stands in for it.
 func (f *Front) of(name string, i int, or float64) float64 {
-	if v := f.set[name]; i < len(v) {
+	if v := f.set[name]; i >= 0 && i < len(v) {
 		return v[i]
 	}
 	return or
@@ -567,7 +567,7 @@
 	for _, h := range n.plays {
 		if p := f.plays.Get(h); now-p.sent < reportLag {
 			late += f.rate(p, p.rung)
-		} else if now-p.raised < reportLag {
+		} else if now-p.raised < reportLag && p.rung > 0 {
 			late += f.more(p, p.rung)
 		}
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -439,3 +439,14 @@
 		t.Fatalf("%v allocations a play", n)
 	}
 }
+
+func TestReportOnAPlayRaisedAndCutToTheBottom(t *testing.T) {
+	f := fleet(1)
+	h, p := playingAt(f, 0, 0, 0, 0)
+	f.setRung(now, h, p, 1)
+	f.setRung(now, h, p, 0)
+	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1})
+	if a := f.linkAsked(now, 0); math.Abs(a-0.5) > 1e-9 {
+		t.Fatalf("got %v", a)
+	}
+}
