--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -140,7 +140,7 @@
 }
 
 func TestAccountHoldsReportAndOwnChangesSince(t *testing.T) {
-	f := fleet(1)
+	f := fleet(1, alone)
 	playingAt(f, 0, 0, 1, 0)
 	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1})
 	playingAt(f, 0, 0, 1, now)
@@ -154,7 +154,7 @@
 }
 
 func TestRepeatedReportIsNoNews(t *testing.T) {
-	f := fleet(1)
+	f := fleet(1, alone)
 	same := front.Load{Streams: 3, Link: 0.5, Uplink: -1}
 	f.report(now, 0, same)
 	playingAt(f, 0, 0, 1, 0)
--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -41,6 +41,8 @@
 	return f
 }
 
+func alone(set map[string][]float64) { set["fronts"] = []float64{1} }
+
 func want(product int) front.Want {
 	return front.Want{Product: product, Limit: now + 4*sec, Home: 0, Copies: 4, Top: 2}
 }
