--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,7 +48,7 @@
 	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
 	settle      = 1 * sec   // beyond the notes' lag: time for a change to show before the next
 	freshFor    = 1500 * ms // an older report is asked again before a step up
-	reportLag   = 600 * ms  // a report may lack what was set up this short before it
+	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
 	perPlay     = 1.0       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
 	firstShare  = 0.5       // of the time to the first-frame target one allocation may take: leaves one more
@@ -173,7 +173,7 @@
 	}
 	at, was := p.node, p.stage
 	f.unbind(h, p)
-	f.report(now, at, load)
+	f.report(now, at, load, reportLag)
 	if how != front.Served && how != front.NotSent && was != deserted {
 		f.viewers[p.want.Viewer].left, f.viewers[p.want.Viewer].leftAt = at+1, now
 	}
@@ -234,7 +234,11 @@
 func (f *Front) Asked(now int64, h front.Handle, load front.Load) *front.Result {
 	f.begin()
 	if p := f.plays.Get(h); p != nil && (p.stage == playing || p.stage == settingUp) {
-		f.report(now, p.node, load)
+		lag := reportLag
+		if p.stage == playing && now-p.started > reportLag { // not the note that comes at set-up
+			lag += int64(f.val("note.lag"))
+		}
+		f.report(now, p.node, load, lag)
 	}
 	return f.end(now)
 }
@@ -245,7 +249,7 @@
 	n := f.known(at)
 	n.probing = false
 	if how == front.Served {
-		f.report(now, at, load)
+		f.report(now, at, load, reportLag)
 		for _, h := range n.plays {
 			if p := f.plays.Get(h); p.stage == settingUp {
 				f.setRung(now, h, p, f.fit(p, f.room(now, at)+f.rate(p, p.rung)))
@@ -557,7 +561,7 @@
 
 // report takes in what a node told of its link and uplink. The same to the last digit is no news:
 // guards against reports that freeze or come again.
-func (f *Front) report(now int64, at int, l front.Load) {
+func (f *Front) report(now int64, at int, l front.Load, lag int64) {
 	n := &f.nodes[at]
 	if l == n.told || l.Link < 0 && l.Uplink < 0 {
 		return
@@ -565,9 +569,9 @@
 	n.told = l
 	late := 0.0
 	for _, h := range n.plays {
-		if p := f.plays.Get(h); now-p.sent < reportLag {
+		if p := f.plays.Get(h); now-p.sent < lag {
 			late += f.rate(p, p.rung)
-		} else if now-p.raised < reportLag && p.rung > 0 {
+		} else if now-p.raised < lag && p.rung > 0 {
 			late += f.more(p, p.rung)
 		}
 	}
@@ -738,7 +742,8 @@
 	part := room / max(1, f.val("fronts"))
 	for part > 0 {
 		h, p := f.best(at, func(p *ply) float64 {
-			if p.rung >= min(f.top(p), f.reach()) || now-p.raised < upEvery || f.more(p, p.rung+1) > room {
+			if p.rung >= min(f.top(p), f.reach()) || now-p.raised < upEvery || f.more(p, p.rung+1) > room ||
+				n.link.at == 0 && now-p.started < upEvery { // others' plays on the link are still unknown
 				return 0
 			}
 			left := max(leastLeft, now-p.started)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -142,7 +142,7 @@
 func TestAccountHoldsReportAndOwnChangesSince(t *testing.T) {
 	f := fleet(1, alone)
 	playingAt(f, 0, 0, 1, 0)
-	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1})
+	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1}, reportLag)
 	playingAt(f, 0, 0, 1, now)
 	if a := f.linkAsked(now, 0); math.Abs(a-0.7) > 1e-9 {
 		t.Fatalf("got %v", a)
@@ -156,9 +156,9 @@
 func TestRepeatedReportIsNoNews(t *testing.T) {
 	f := fleet(1, alone)
 	same := front.Load{Streams: 3, Link: 0.5, Uplink: -1}
-	f.report(now, 0, same)
+	f.report(now, 0, same, reportLag)
 	playingAt(f, 0, 0, 1, 0)
-	f.report(now+sec, 0, same)
+	f.report(now+sec, 0, same, reportLag)
 	if a := f.linkAsked(now, 0); math.Abs(a-0.7) > 1e-9 {
 		t.Fatalf("a frozen report wiped an own set-up: %v", a)
 	}
@@ -445,7 +445,7 @@
 	h, p := playingAt(f, 0, 0, 0, 0)
 	f.setRung(now, h, p, 1)
 	f.setRung(now, h, p, 0)
-	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1})
+	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1}, reportLag)
 	if a := f.linkAsked(now, 0); math.Abs(a-0.5) > 1e-9 {
 		t.Fatalf("got %v", a)
 	}
