With nothing told of a link, others are taken to hold a part of what this front does

Cause: at 0.2 s no note had come, so a link seemed to hold this front's plays only; also notes told of a time before the steps.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -496,28 +496,27 @@
 	return min(told, seen.given*(1+age*age))
 }
 
-// asked is an account: own plays, or the last figure told and what was changed since.
-func asked(a account, own, capacity, others float64) float64 {
-	if a.at == 0 {
-		return own / capacity
-	}
+// asked is an account: own plays, or the last figure told and what was changed since. Each other
+// front is taken to have added a part of what this one did. Guards against a crowd that all of
+// them meet at once, and against steps up on links of which nothing was told yet.
+func (f *Front) asked(a account, own, capacity float64) float64 {
+	others := max(0, f.val("fronts")-1)
 	since := own - a.own
-	return max(own/capacity, a.asked+(since+max(0, since)*others)/capacity)
+	return max(own/capacity, a.asked+(since+max(0, since)*others*crowd)/capacity)
 }
 
 func (f *Front) linkAsked(now int64, at int) float64 {
-	return asked(f.nodes[at].link, f.nodes[at].own, f.capacity(now, at), (f.val("fronts")-1)*crowd)
+	return f.asked(f.nodes[at].link, f.nodes[at].own, f.capacity(now, at))
 }
 
 // uplinkAsked is a rack's account: told, or else added up over its links. Other fronts are taken
 // to add to it as this one has since: guards against a crowd that all of them meet at once.
 func (f *Front) uplinkAsked(now int64, rk int) float64 {
 	r := &f.racks[rk]
-	a := asked(r.link, r.own, f.uplink(now, rk), (f.val("fronts")-1)*crowd)
 	if f.val("reports.uplink") > 0 {
-		return a
+		return f.asked(r.link, r.own, f.uplink(now, rk))
 	}
-	return max(a, f.rackSum(now, rk)/f.uplink(now, rk))
+	return f.rackSum(now, rk) / f.uplink(now, rk)
 }
 
 // rackSum adds up what is asked of a rack's links, kB a second.
@@ -742,8 +741,7 @@
 	part := room / max(1, f.val("fronts"))
 	for part > 0 {
 		h, p := f.best(at, func(p *ply) float64 {
-			if p.rung >= min(f.top(p), f.reach()) || now-p.raised < upEvery || f.more(p, p.rung+1) > room ||
-				n.link.at == 0 && now-p.started < upEvery { // others' plays on the link are still unknown
+			if p.rung >= min(f.top(p), f.reach()) || now-p.raised < upEvery || f.more(p, p.rung+1) > room {
 				return 0
 			}
 			left := max(leastLeft, now-p.started)
