--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,7 +42,7 @@
 	shortHolds  = 1500 * ms // a note of shortage, due each second, counts this long
 	alike       = 0.1       // shares this near tell of one cause
 	regain      = 25 * sec  // a link seen short counts as giving twice as much again after this
-	crowd       = 0.4       // of own changes: what each other front is taken to add to an uplink since a report
+	crowd       = 0.25      // of own changes: what each other front is taken to add to an uplink since a report
 	nearRoom    = 0.1       // of the most room: holders this near are equals, drawn at random
 	farCost     = 0.1       // asked over given: another zone's node counts as so much fuller, with no room
 	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
