--- a/choice/choice.go
+++ b/choice/choice.go
@@ -48,6 +48,7 @@
 	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
 	settle      = 1 * sec   // beyond the notes' lag: time for a change to show before the next
 	freshFor    = 1500 * ms // an older report is asked again before a step up
+	recheck     = 4 * sec   // an older figure that calls a link full is asked again while plays there would rise
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
 	perPlay     = 1.0       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
@@ -738,6 +739,9 @@
 		return
 	}
 	room := f.room(now, at)
+	if f.val("probing") > 0 && now-n.link.at > recheck { // too old to keep plays down by: ask again
+		room = math.Inf(1)
+	}
 	part := room / max(1, f.val("fronts"))
 	for part > 0 {
 		h, p := f.best(at, func(p *ply) float64 {
