--- a/choice/choice.go
+++ b/choice/choice.go
@@ -35,7 +35,7 @@
 	cutTo       = 0.92      // asked over given that they aim at: clear of stalls, no see-saw with roomMark
 	fullMark    = 1.0       // asked over given: past it a play more costs all there more than it earns
 	fullFor     = 4 * sec   // an older figure turns nobody away
-	rungSpacing = 1.2       // rungs a play may start or rise to over the mean of those that could rise
+	rungSpacing = 1.0       // rungs a play may start or rise to over the mean of those that could rise
 	swapGain    = 3.0       // a step up must earn this many times its price
 	leastLeft   = 10 * sec  // an untold length: as much is left as has played, this at least
 	shortUnder  = 0.98      // share of rate: below it a play loses worth
