--- a/choice/choice.go
+++ b/choice/choice.go
@@ -384,9 +384,6 @@
 	if v := &f.viewers[p.want.Viewer]; now-v.leftAt < skipFor {
 		f.prefer(func(c *cand) bool { return c.at != v.left-1 })
 	}
-	if f.paid(p) { // a failure would end it: let others try a node on probation
-		f.prefer(func(c *cand) bool { return !f.nodes[c.at].trial })
-	}
 	f.prefer(func(c *cand) bool { return c.room >= need })
 	if f.cands[0].room < need { // no room: the least used
 		least := f.cands[0]
@@ -539,9 +536,6 @@
 func (f *Front) room(now int64, at int) float64 {
 	n, full := &f.nodes[at], f.capacity(now, at)
 	link := roomMark*regained(now, n.seen, full) - f.linkAsked(now, at)*full
-	if s := f.shareNow(now, at); s < 1 {
-		link = min(link, (roomMark-1/s)*full)
-	}
 	return min(link, (roomMark-f.uplinkAsked(now, n.rack))*f.uplink(now, n.rack))
 }
 
@@ -559,14 +553,9 @@
 // fill the links. A front without plays starts low, as it knows nothing of the links.
 func (f *Front) reach() int { return int(min(100, f.level+rungSpacing)) }
 
-// report takes in what a node told of its link and uplink. The same to the last digit is no news:
-// guards against reports that freeze or come again.
+// report takes in what a node told of its link and uplink.
 func (f *Front) report(now int64, at int, l front.Load, lag int64) {
 	n := &f.nodes[at]
-	if l == n.told || l.Link < 0 && l.Uplink < 0 {
-		return
-	}
-	n.told = l
 	late := 0.0
 	for _, h := range n.plays {
 		if p := f.plays.Get(h); now-p.sent < lag {
@@ -663,7 +652,6 @@
 	n.share, n.shareAt = share, now
 	if share >= shortUnder {
 		n.shortFrom = 0
-		n.link.asked = min(n.link.asked, overMark)
 		return
 	}
 	if n.shortFrom == 0 {
@@ -804,15 +792,13 @@
 
 // judge takes an allocation's end as a symptom. Guards against a node that fails, hangs or breaks
 // while its kind does well: it is skipped, then on probation until a set-up succeeds. One that
-// refused as full is left alone for a little and own plays there step down; what late reports say
-// of it counts for less than its refusal.
+// refused as full is left alone for a little, whatever late reports say of it.
 func (f *Front) judge(now int64, at int, how front.Ending) {
 	n := &f.nodes[at]
 	switch how {
 	case front.TurnedAway:
 		n.skipUntil = max(n.skipUntil, now+refusedFor<<min(n.strikes, doublings))
 		n.strikes++
-		f.cut(now, at, max(f.linkAsked(now, at), fullMark), 0)
 	case front.NoConnect, front.Lost: // it may come back cold before the list says so
 		n.lostAt = now
 		fallthrough
--- a/choice/state.go
+++ b/choice/state.go
@@ -46,8 +46,7 @@
 	own       float64 // rates of own plays, kB a second
 	link      account
 	seen      memory
-	told      front.Load // the last report
-	share     float64    // last share told
+	share     float64 // last share told
 	shareAt   int64
 	shortFrom int64 // since when it is short; 0 is not
 	cutAt     int64 // last step down here
