--- a/choice/choice.go
+++ b/choice/choice.go
@@ -46,7 +46,7 @@
 	nearRoom    = 0.1       // of the most room: holders this near are equals, drawn at random
 	farCost     = 0.1       // asked over given: another zone's node counts as so much fuller, with no room
 	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
-	settle      = 1 * sec   // beyond the notes' lag: time for a change to show before the next
+	settle      = 1500 * ms // beyond the notes' lag: smoothed, they take as long to show a change
 	freshFor    = 1500 * ms // an older report is asked again before a step up
 	recheck     = 4 * sec   // an older figure that calls a link full is asked again while plays there would rise
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
