--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,7 +37,7 @@
 	fullFor     = 4 * sec   // an older figure turns nobody away
 	rungSpacing = 1.0       // rungs a play may start or rise to over the mean of those that could rise
 	swapGain    = 3.0       // a step up must earn this many times its price
-	leastLeft   = 10 * sec  // an untold length: as much is left as has played, this at least
+	leastLeft   = 20 * sec  // an untold length: as much is left as has played, this at least
 	shortUnder  = 0.98      // share of rate: below it a play loses worth
 	shortHolds  = 1500 * ms // a note of shortage, due each second, counts this long
 	alike       = 0.1       // shares this near tell of one cause
