--- a/choice/helper_test.go
+++ b/choice/helper_test.go
@@ -16,10 +16,10 @@
 		"rung.rate": {100, 200, 400}, "rung.worth": {0.3, 0.6, 1}, "weight.rate": {1000},
 		"uplink.rate": {10000}, "reports.uplink": {0}, "tries": {4}, "zone": {0},
 		"product.rate": {1, 1}, "product.paid": {0, 1}, "product.floor": {0, 1}, "product.seats": {0, 2},
-		"product.importance": {1, 2}, "product.target": {10000, 10000}, "product.limit": {40000, 40000},
+		"product.importance": {1, 2}, "product.target": {10000, 10000},
 		"comeback": {1}, "comeback.most": {5000}, "recall": {1}, "note.lag": {10000},
 		"switch.seconds": {0.5}, "cold.share": {0.4}, "cold.lasts": {120000},
-		"fall.multiple": {2.5}, "fall.over": {10000}, "drain.grace": {5000},
+		"fall.multiple": {2.5}, "fall.over": {10000},
 		"budget.over": {100000}, "budget.free": {2}, "budget.share": {0.1},
 	}
 }
--- a/internal/heath/terms.go
+++ b/internal/heath/terms.go
@@ -16,25 +16,22 @@
 	{"family-info.rung-kb", "rung.rate", true}, {"family-info.ladder-worth", "rung.worth", true},
 	{"family-info.rate-factor", "product.rate", true}, {"family-info.lowest-rung", "product.floor", false},
 	{"family-info.highest-rung", "product.top", false}, {"family-info.seats", "product.seats", false},
-	{"family-info.refuses-from", "guard", false}, {"family-info.links-kb", "links.rate", false},
 	{"family-info.rack-link-kb", "uplink.rate", false}, {"family-info.weight-kb", "weight.rate", true},
-	{"family-info.see-ms", "note.lag", false}, {"family-info.reports-every-ms", "note.every", false},
-	{"family-info.stall-cost", "stall.cost", false}, {"family-info.switch-s", "switch.seconds", false},
+	{"family-info.see-ms", "note.lag", false},
+	{"family-info.switch-s", "switch.seconds", false},
 	{"limits.most-tries", "tries", true}, {"limits.probing", "probing", false},
 	{"limits.retry-after", "comeback", false}, {"limits.max-retry-after-ms", "comeback.most", false},
-	{"limits.dial-timeout-ms", "connect.within", false}, {"limits.cancel", "recall", false},
-	{"safety.answer-slack-ms", "answer.slack", false}, {"safety.cold-share", "cold.share", true},
-	{"safety.warm-after-ms", "cold.lasts", true}, {"safety.drain-grace-ms", "drain.grace", true},
+	{"limits.cancel", "recall", false},
+	{"safety.cold-share", "cold.share", true},
+	{"safety.warm-after-ms", "cold.lasts", true},
 	{"safety.fall-multiple", "fall.multiple", true}, {"safety.fall-ms", "fall.over", true},
 	{"safety.repeat-ratio", "budget.share", false}, {"safety.free-resends", "budget.free", false},
 	{"safety.counted-over-ms", "budget.over", false},
-	{"tariffs.probe", "price.probe", false}, {"tariffs.moves", "price.move", false},
-	{"tariffs.cross-zone", "price.cross", false},
 }
 
 // perLane are settings that each lane of the wire carries.
 var perLane = []struct{ wire, ours string }{
-	{"objective-ms", "product.target"}, {"deadline-ms", "product.limit"}, {"worth", "product.importance"},
+	{"objective-ms", "product.target"}, {"worth", "product.importance"},
 }
 
 // names are the wire's names that become small numbers.
