--- a/choice/choice.go
+++ b/choice/choice.go
@@ -42,13 +42,13 @@
 	shortHolds  = 1500 * ms // a note of shortage, due each second, counts this long
 	alike       = 0.1       // shares this near tell of one cause
 	regain      = 25 * sec  // a link seen short counts as giving twice as much again after this
-	crowd       = 0.25      // of own changes: what each other front is taken to add to an uplink since a report
+	crowd       = 0.25      // of own changes since a report: what each other front is taken to add
 	nearRoom    = 0.1       // of the most room: holders this near are equals, drawn at random
 	farCost     = 0.1       // asked over given: another zone's node counts as so much fuller, with no room
 	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
 	settle      = 1500 * ms // beyond the notes' lag: smoothed, they take as long to show a change
 	freshFor    = 1500 * ms // an older report is asked again before a step up
-	recheck     = 4 * sec   // an older figure that calls a link full is asked again while plays there would rise
+	recheck     = 4 * sec   // an older figure that keeps plays down is asked again
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
 	perPlay     = 1.0       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
