--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -429,3 +429,16 @@
 		t.Fatalf("got %v", a)
 	}
 }
+
+func TestPlayWithLittleTimeIsNotHeld(t *testing.T) {
+	f := fleet(1)
+	f.nodes[0].skipUntil = now + 100*ms
+	w := want(0)
+	if _, r := f.Take(now, w); len(r.Orders) != 0 {
+		t.Fatalf("want a short wait, got %+v", r.Orders)
+	}
+	w.Limit = now + 100*ms
+	if _, r := f.Take(now, w); sole(t, r).Do != front.Decline {
+		t.Fatal("held past its limit")
+	}
+}
--- /dev/null
+++ b/internal/slab/slab_test.go
@@ -0,0 +1,15 @@
+package slab
+
+import "testing"
+
+func TestReusedPlaceMakesOldHandlesStale(t *testing.T) {
+	var s Slab[int]
+	old, _ := s.Add()
+	s.Drop(old)
+	s.Drop(old)
+	fresh, rec := s.Add()
+	*rec = 7
+	if fresh.Place != old.Place || s.Get(old) != nil || *s.Get(fresh) != 7 || s.Len() != 1 {
+		t.Fatalf("old %+v, fresh %+v", old, fresh)
+	}
+}
