--- a/choice/choice.go
+++ b/choice/choice.go
@@ -324,8 +324,7 @@
 	if p.try+1 < int(f.val("tries")) && now < p.want.Limit && f.seatFree(p) && f.mayAgain(now, p) {
 		at, wait = f.choose(now, p)
 	}
-	if at < 0 && wait && p.want.Limit-now > 2*wakeEvery { // answered in time at the next check, or now
-====
+	if at < 0 && wait && p.want.Limit-now > 2*wakeEvery { // else the next check may be too late
 		f.waiting = append(f.waiting, h)
 	} else if at < 0 {
 		f.giveUp(h, p)
