--- /dev/null
+++ b/choice/book.go
@@ -0,0 +1,108 @@
+package choice
+
+import "gullrail/front"
+
+// Bookkeeping: looking up settings, entering plays at nodes, walking lists. Nothing here decides.
+
+// val is a setting's single value, 0 if it is not given.
+func (f *Front) val(name string) float64 { return f.of(name, 0, 0) }
+
+// of is a setting's value for one product, kind or rung, or else what stands in for it.
+func (f *Front) of(name string, i int, or float64) float64 {
+	if v := f.set[name]; i >= 0 && i < len(v) {
+		return v[i]
+	}
+	return or
+}
+
+func (f *Front) begin() {
+	f.res.Orders, f.res.Probes = f.res.Orders[:0], f.res.Probes[:0]
+}
+
+func (f *Front) order(o front.Order) { f.res.Orders = append(f.res.Orders, o) }
+
+// known makes sure that a node has a record.
+func (f *Front) known(at int) *node {
+	for at >= len(f.nodes) {
+		f.nodes = append(f.nodes, node{share: 1, slot: -1, shareAt: never, cutAt: never,
+			raisedAt: never, shedAt: never, probedAt: never})
+	}
+	return &f.nodes[at]
+}
+
+// prefer keeps the candidates that pass, or all if none does.
+func (f *Front) prefer(pass func(c *cand) bool) {
+	k := 0
+	for i := range f.cands {
+		if pass(&f.cands[i]) {
+			f.cands[i], f.cands[k] = f.cands[k], f.cands[i]
+			k++
+		}
+	}
+	if k > 0 {
+		f.cands = f.cands[:k]
+	}
+}
+
+func (f *Front) rerate(p *ply, rung int) {
+	n, more := &f.nodes[p.node], f.rate(p, rung)-f.rate(p, p.rung)
+	n.own += more
+	f.racks[n.rack].own += more
+	p.rung = rung
+}
+
+// best is the play of a node that plays and has most merit above 0.
+func (f *Front) best(at int, merit func(p *ply) float64) (pick front.Handle, best *ply) {
+	most := 0.0
+	for _, h := range f.nodes[at].plays {
+		p := f.plays.Get(h)
+		if p.stage != playing {
+			continue
+		}
+		if m := merit(p); m > most {
+			most, pick, best = m, h, p
+		}
+	}
+	return pick, best
+}
+
+// seat is the count of plays held of a play's title and product.
+func (f *Front) seat(p *ply) *int32 {
+	i := p.want.Title*len(f.set["product.paid"]) + p.want.Product
+	for i >= len(f.seats) {
+		f.seats = append(f.seats, 0)
+	}
+	return &f.seats[i]
+}
+
+// bind and unbind enter a play at a node and take it out: its seat, its rate, its place in the list.
+func (f *Front) bind(h front.Handle, p *ply, at int) {
+	p.node = at
+	n := &f.nodes[at]
+	n.plays = append(n.plays, h)
+	n.own += f.rate(p, p.rung)
+	f.racks[n.rack].own += f.rate(p, p.rung)
+	*f.seat(p)++
+}
+
+func (f *Front) unbind(h front.Handle, p *ply) {
+	n := &f.nodes[p.node]
+	for i, o := range n.plays {
+		if o == h {
+			n.plays = append(n.plays[:i], n.plays[i+1:]...)
+			break
+		}
+	}
+	n.own -= f.rate(p, p.rung)
+	f.racks[n.rack].own -= f.rate(p, p.rung)
+	*f.seat(p)--
+}
+
+// since drops times before a moment, in place.
+func since(times []int64, from int64) []int64 {
+	k := 0
+	for k < len(times) && times[k] < from {
+		k++
+	}
+	return times[:copy(times, times[k:])]
+}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -3,7 +3,8 @@
 // The front end makes one Front with New and tells it all it learns through the calls of
 // front.Chooser: package front holds that interface and its words. Each call returns the orders
 // to carry out, the nodes to probe and when to call Wake at the latest. Nothing else is read:
-// no clock, no wire, no other front. docs/design.md has the reasons, docs/oncall.md the symptoms.
+// no clock, no wire, no other front. state.go holds the records, book.go enters plays and walks
+// lists; neither decides. docs/design.md has the reasons, docs/oncall.md the symptoms.
 // In this order: constants, calls, placing, account, rungs in play, health, the six rules.
 package choice
 
@@ -68,39 +69,13 @@
 	return f
 }
 
-// val is a setting's single value, 0 if it is not given.
-func (f *Front) val(name string) float64 { return f.of(name, 0, 0) }
-
-// of is a setting's value for one product, kind or rung, or else what stands in for it.
-func (f *Front) of(name string, i int, or float64) float64 {
-	if v := f.set[name]; i >= 0 && i < len(v) {
-		return v[i]
-	}
-	return or
-}
-
 // ---- Calls ----
 
-func (f *Front) begin() {
-	f.res.Orders, f.res.Probes = f.res.Orders[:0], f.res.Probes[:0]
-}
-
 func (f *Front) end(now int64) *front.Result {
 	f.res.Wake = now + wakeEvery
 	return &f.res
 }
 
-func (f *Front) order(o front.Order) { f.res.Orders = append(f.res.Orders, o) }
-
-// known makes sure that a node has a record.
-func (f *Front) known(at int) *node {
-	for at >= len(f.nodes) {
-		f.nodes = append(f.nodes, node{share: 1, slot: -1, shareAt: never, cutAt: never,
-			raisedAt: never, shedAt: never, probedAt: never})
-	}
-	return &f.nodes[at]
-}
-
 // Nodes follows the list. What a full list lacks is gone.
 func (f *Front) Nodes(now int64, list []front.Node, whole bool) *front.Result {
 	f.begin()
@@ -424,20 +399,6 @@
 	return f.cands[f.rnd.Below(len(f.cands))].at, false
 }
 
-// prefer keeps the candidates that pass, or all if none does.
-func (f *Front) prefer(pass func(c *cand) bool) {
-	k := 0
-	for i := range f.cands {
-		if pass(&f.cands[i]) {
-			f.cands[i], f.cands[k] = f.cands[k], f.cands[i]
-			k++
-		}
-	}
-	if k > 0 {
-		f.cands = f.cands[:k]
-	}
-}
-
 func (f *Front) ownZone(at int) bool { return f.nodes[at].zone == int(f.of("zone", 0, -1)) }
 
 // holds tells that a node is ready and holds the title.
@@ -613,28 +574,6 @@
 	f.order(front.Order{Play: h, Do: front.SetRung, Rung: rung})
 }
 
-func (f *Front) rerate(p *ply, rung int) {
-	n, more := &f.nodes[p.node], f.rate(p, rung)-f.rate(p, p.rung)
-	n.own += more
-	f.racks[n.rack].own += more
-	p.rung = rung
-}
-
-// best is the play of a node that plays and has most merit above 0.
-func (f *Front) best(at int, merit func(p *ply) float64) (pick front.Handle, best *ply) {
-	most := 0.0
-	for _, h := range f.nodes[at].plays {
-		p := f.plays.Get(h)
-		if p.stage != playing {
-			continue
-		}
-		if m := merit(p); m > most {
-			most, pick, best = m, h, p
-		}
-	}
-	return pick, best
-}
-
 // shareNow is the share delivered at a node as far as it is told; silence is a full share.
 func (f *Front) shareNow(now int64, at int) float64 {
 	if n := &f.nodes[at]; n.share < shortUnder && now-n.shareAt < shortHolds {
@@ -842,15 +781,6 @@
 	return !(f.paid(p) && p.mayHave) && float64(len(f.again)+1) <= most
 }
 
-// since drops times before a moment, in place.
-func since(times []int64, from int64) []int64 {
-	k := 0
-	for k < len(times) && times[k] < from {
-		k++
-	}
-	return times[:copy(times, times[k:])]
-}
-
 // warmth is the least share of its power that a node has: it warms from its start, or from a
 // return that this front saw.
 func (f *Front) warmth(now int64, at int) float64 {
@@ -883,39 +813,7 @@
 	return !cold || turn%fronts == int64(f.val("front"))%fronts && turn != f.nodes[at].slot
 }
 
-// seat is the count of plays held of a play's title and product.
-func (f *Front) seat(p *ply) *int32 {
-	i := p.want.Title*len(f.set["product.paid"]) + p.want.Product
-	for i >= len(f.seats) {
-		f.seats = append(f.seats, 0)
-	}
-	return &f.seats[i]
-}
-
 func (f *Front) seatFree(p *ply) bool {
 	most := f.of("product.seats", p.want.Product, 0)
 	return most == 0 || float64(*f.seat(p)) < most
 }
-
-// bind and unbind enter a play at a node and take it out: its seat, its rate, its place in the list.
-func (f *Front) bind(h front.Handle, p *ply, at int) {
-	p.node = at
-	n := &f.nodes[at]
-	n.plays = append(n.plays, h)
-	n.own += f.rate(p, p.rung)
-	f.racks[n.rack].own += f.rate(p, p.rung)
-	*f.seat(p)++
-}
-
-func (f *Front) unbind(h front.Handle, p *ply) {
-	n := &f.nodes[p.node]
-	for i, o := range n.plays {
-		if o == h {
-			n.plays = append(n.plays[:i], n.plays[i+1:]...)
-			break
-		}
-	}
-	n.own -= f.rate(p, p.rung)
-	f.racks[n.rack].own -= f.rate(p, p.rung)
-	*f.seat(p)--
-}
