Tidy the module: one start of warming, one memory update, bounded budget lists

The start a node warms from stood in three places and is warmsFrom now; the update of a memory of shortage stood twice and is remember now. A report that tells nothing no longer walks the node's plays, and what is used of a link and its rack is worked out only for holders without room. mayAgain asks each of its questions once; place has one branch for no node. A test set one field twice, and a comment named a function that does not exist.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -98,7 +98,7 @@
 func (f *Front) Take(now int64, w front.Want) (front.Handle, *front.Result) {
 	f.begin()
 	h, p := f.accept(now, w)
-	f.taken = append(f.taken, now)
+	f.taken = append(since(f.taken, now-int64(f.val("budget.over"))+budgetEdge), now)
 	f.probes = min(probeStore, f.probes+perPlay)
 	f.place(now, h, p)
 	return h, f.end(now)
@@ -132,7 +132,7 @@
 		n := &f.nodes[p.node]
 		n.settingUp--
 		n.strikes, n.trial = 0, false
-		if n.lostAt > max(n.started, n.backAt) { // back, and cold again before the list says so
+		if n.lostAt > f.warmsFrom(p.node) { // back, and cold again before the list says so
 			n.backAt, n.slot = now, -1
 		}
 	}
@@ -299,18 +299,18 @@
 	if p.try+1 < int(f.val("tries")) && now < p.want.Limit && f.seatFree(p) && f.mayAgain(now, p) {
 		at, wait = f.choose(now, p)
 	}
-	if at < 0 && wait && p.want.Limit-now > 2*wakeEvery { // else the next check may be too late
-		f.waiting = append(f.waiting, h)
-	} else if at < 0 {
-		f.giveUp(h, p)
-	}
 	if at < 0 {
+		if wait && p.want.Limit-now > 2*wakeEvery { // else the next check may be too late
+			f.waiting = append(f.waiting, h)
+		} else {
+			f.giveUp(h, p)
+		}
 		return
 	}
 	n := &f.nodes[at]
 	p.rung, p.stage, p.sent = f.fit(p, f.room(now, at)), settingUp, now
 	if p.try++; p.try > 0 {
-		f.again = append(f.again, now)
+		f.again = append(since(f.again, now-int64(f.val("budget.over"))-budgetEdge), now)
 	}
 	n.settingUp++
 	n.slot, _ = f.turnOf(now, at)
@@ -341,10 +341,12 @@
 		if !f.holds(i, p) {
 			continue
 		}
-		c := cand{i, f.room(now, i), f.used(now, i), 0}
-		full := c.room < need && f.full(now, i, c.used, need)
-		if full {
-			f.probe(now, i, 1)
+		c, full := cand{at: i, room: f.room(now, i)}, false
+		if c.room < need { // only then does it matter how much is used
+			c.used = f.used(now, i)
+			if full = f.full(now, i, c.used, need); full {
+				f.probe(now, i, 1)
+			}
 		}
 		if full || !f.healthy(now, i) || !f.pace(now, i) {
 			wait = wait || now < holdUntil && f.nodes[i].skipUntil < holdUntil
@@ -438,10 +440,11 @@
 
 // uplink is what a rack's uplink gives: the mean told, or less once the rack was seen short.
 func (f *Front) uplink(now int64, rk int) float64 {
-	if told := f.val("uplink.rate"); told > 0 {
-		return regained(now, f.racks[rk].seen, told)
+	told := f.val("uplink.rate")
+	if told <= 0 {
+		told = math.Inf(1)
 	}
-	return regained(now, f.racks[rk].seen, math.Inf(1))
+	return regained(now, f.racks[rk].seen, told)
 }
 
 // regained is what a link or uplink counts as giving after it was seen short: that, and with time
@@ -468,8 +471,7 @@
 	return f.asked(f.nodes[at].link, f.nodes[at].own, f.capacity(now, at))
 }
 
-// uplinkAsked is a rack's account: told, or else added up over its links. Other fronts are taken
-// to add to it as this one has since: guards against a crowd that all of them meet at once.
+// uplinkAsked is a rack's account: told, or else added up over its links.
 func (f *Front) uplinkAsked(now int64, rk int) float64 {
 	r := &f.racks[rk]
 	if f.val("reports.uplink") > 0 {
@@ -516,6 +518,9 @@
 
 // report takes in what a node told of its link and uplink.
 func (f *Front) report(now int64, at int, l front.Load, lag int64) {
+	if l.Link < 0 && l.Uplink < 0 {
+		return
+	}
 	n := &f.nodes[at]
 	late := 0.0
 	for _, h := range n.plays {
@@ -598,8 +603,8 @@
 	}
 	if f.rackShort(now, at, share) {
 		n.seen = memory{}
-	} else if n.seen.at == 0 || f.settled(now, n.seen.at) {
-		n.seen = memory{share * f.linkAsked(now, at) * f.capacity(now, at), now}
+	} else {
+		f.remember(now, &n.seen, share*f.linkAsked(now, at)*f.capacity(now, at))
 	}
 	f.cut(now, at, 1/share, 1)
 }
@@ -625,12 +630,17 @@
 	if short < 2 || 2*short <= with {
 		return false
 	}
-	if r.seen.at == 0 || f.settled(now, r.seen.at) {
-		r.seen = memory{share * f.rackSum(now, rk), now}
-	}
+	f.remember(now, &r.seen, share*f.rackSum(now, rk))
 	return true
 }
 
+// remember notes what a link or uplink gave when short, once for what notes tell over and over.
+func (f *Front) remember(now int64, seen *memory, given float64) {
+	if seen.at == 0 || f.settled(now, seen.at) {
+		*seen = memory{given, now}
+	}
+}
+
 // cut steps own plays down where a link is asked more than a mark, each front by its part of the
 // excess, those first that lose least for the rate they free.
 func (f *Front) cut(now int64, at int, asks, mark float64) {
@@ -771,20 +781,28 @@
 
 // mayAgain keeps a paid play from running twice and further allocations within the budget.
 func (f *Front) mayAgain(now int64, p *ply) bool {
+	if p.try < 0 {
+		return true
+	}
+	if f.paid(p) && p.mayHave {
+		return false
+	}
 	over := int64(f.val("budget.over"))
-	if p.try < 0 || over == 0 {
-		return p.try < 0 || !f.paid(p) || !p.mayHave
+	if over == 0 {
+		return true
 	}
 	f.taken = since(f.taken, now-over+budgetEdge)
 	f.again = since(f.again, now-over-budgetEdge)
 	most := f.val("budget.free") + f.val("budget.share")*float64(len(f.taken))
-	return !(f.paid(p) && p.mayHave) && float64(len(f.again)+1) <= most
+	return float64(len(f.again)+1) <= most
 }
 
-// warmth is the least share of its power that a node has: it warms from its start, or from a
-// return that this front saw.
+// warmsFrom is when a node began to warm: at its start, or at a return that this front saw.
+func (f *Front) warmsFrom(at int) int64 { return max(f.nodes[at].started, f.nodes[at].backAt) }
+
+// warmth is the least share of its power that a node has.
 func (f *Front) warmth(now int64, at int) float64 {
-	start := max(f.nodes[at].started, f.nodes[at].backAt)
+	start := f.warmsFrom(at)
 	age := float64(now-start) / f.val("cold.lasts")
 	if start == 0 || age >= 1 {
 		return 1
@@ -799,9 +817,8 @@
 	if warmth >= 1 {
 		return 0, false
 	}
-	n := &f.nodes[at]
-	age := float64(max(0, now-max(n.started, n.backAt)))
-	pace := f.val("fall.multiple") * f.of("kind.streams", n.kind, 1) / f.val("cold.lasts")
+	age := float64(max(0, now-f.warmsFrom(at)))
+	pace := f.val("fall.multiple") * f.of("kind.streams", f.nodes[at].kind, 1) / f.val("cold.lasts")
 	pace *= (f.val("cold.share") + warmth) / 2 / coldMargin // the mean since its start
 	return int64(age * max(pace-1/f.val("fall.over"), pace/2)), true
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -176,7 +176,6 @@
 		playingAt(f, 0, 0, 0, 0)
 	}
 	f.nodes[0].link = account{now, 0.2, f.nodes[0].own}
-	f.nodes[0].link.own = f.nodes[0].own
 	f.begin()
 	f.raise(now, 0)
 	// Own plays ask 0.8, so room is 50: too little for a step of 100.
--- a/internal/heath/codec.go
+++ b/internal/heath/codec.go
@@ -95,7 +95,7 @@
 	return f
 }
 
-// has tells that a part is there; absent ones read as nothing.
+// wholeOr and numberOr read a part that may be absent.
 func (ln *line) wholeOr(key string, or int64) int64 {
 	if _, ok := ln.find(key); !ok {
 		return or
