Others' part by shares, not by the number of fronts, in the account and in steps up

Now the account adds crowd x (1 - 1/fronts) of own changes, and a step up takes the part of the room that own plays have in what is asked. Guards against any factor that grows with the fleet; could harm where all fronts act on one link in the same second.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,7 +43,7 @@
 	shortHolds  = 1500 * ms // a note of shortage, due each second, counts this long
 	alike       = 0.1       // shares this near tell of one cause
 	regain      = 25 * sec  // a link seen short counts as giving twice as much again after this
-	crowd       = 0.25      // of own changes since a report: what each other front is taken to add
+	crowd       = 0.75      // of own changes since a report: what the others, if many, are taken to add
 	nearRoom    = 0.1       // of the most room: holders this near are equals, drawn at random
 	farCost     = 0.1       // asked over given: another zone's node counts as so much fuller, with no room
 	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
@@ -462,7 +462,7 @@
 // front is taken to have added a part of what this one did. Guards against a crowd that all of
 // them meet at once, and against steps up on links of which nothing was told yet.
 func (f *Front) asked(a account, own, capacity float64) float64 {
-	others := max(0, f.val("fronts")-1)
+	others := 1 - 1/max(1, f.val("fronts"))
 	since := own - a.own
 	return max(own/capacity, a.asked+(since+max(0, since)*others*crowd)/capacity)
 }
@@ -679,7 +679,7 @@
 	if f.val("probing") > 0 && now-n.link.at > recheck { // too old to keep plays down by: ask again
 		room = math.Inf(1)
 	}
-	part := room / max(1, f.val("fronts"))
+	part := room * min(1, n.own/max(1, f.linkAsked(now, at)*f.capacity(now, at)))
 	for part > 0 {
 		h, p := f.best(at, func(p *ply) float64 {
 			if p.rung >= min(f.top(p), f.reach()) || now-p.raised < upEvery || f.more(p, p.rung+1) > room {
