--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -183,8 +183,9 @@
 		t.Fatalf("raised past the mark: %+v", f.res.Orders)
 	}
 	f.set["weight.rate"] = []float64{2000}
-	f.raise(now, 0) // room 900, this front's part 450
-	if n := len(f.res.Orders); n < 4 || n > 5 {
+	f.nodes[0].link.asked = 0.6
+	f.raise(now, 0) // room 500, own plays ask two thirds: part 333
+	if n := len(f.res.Orders); n < 3 || n > 4 {
 		t.Fatalf("%d steps", n)
 	}
 }
