--- a/choice/book.go
+++ b/choice/book.go
@@ -30,6 +30,31 @@
 	return &f.nodes[at]
 }
 
+// relist enters the listed nodes by rack and by cell, so that no play walks them all.
+func (f *Front) relist() {
+	for i := range f.racks {
+		f.racks[i].nodes = f.racks[i].nodes[:0]
+	}
+	for i := range f.cells {
+		f.cells[i] = f.cells[i][:0]
+	}
+	for i := range f.nodes {
+		if n := &f.nodes[i]; n.listed {
+			f.racks[n.rack].nodes = append(f.racks[n.rack].nodes, i)
+			f.cells[n.cell%len(f.cells)] = append(f.cells[n.cell%len(f.cells)], i)
+		}
+	}
+}
+
+// holders are the listed nodes that hold a play's title.
+func (f *Front) holders(p *ply) []int {
+	f.held = f.held[:0]
+	for off := range min(p.want.Copies, len(f.cells)) {
+		f.held = append(f.held, f.cells[(p.want.Home+off)%len(f.cells)]...)
+	}
+	return f.held
+}
+
 // prefer keeps the candidates that pass, or all if none does.
 func (f *Front) prefer(pass func(c *cand) bool) {
 	k := 0
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -65,6 +65,7 @@
 func New(set map[string][]float64, seed uint64) *Front {
 	f := &Front{set: set, rnd: pcg.New(seed), probes: probeStore}
 	f.racks = make([]rack, max(1, int(f.val("racks"))))
+	f.cells = make([][]int, max(1, int(f.val("cells"))))
 	f.kinds = make([]kind, len(set["kind.streams"]))
 	return f
 }
@@ -91,6 +92,7 @@
 		n.phase, n.kind, n.zone, n.cell = l.Phase, l.Kind, l.Zone, l.Cell
 		n.rack, n.started, n.weight = l.Cell%len(f.racks), l.Started, l.Weight
 	}
+	f.relist()
 	return f.end(now)
 }
 
@@ -337,8 +339,8 @@
 	holdUntil := p.taken + int64(holdShare*f.of("product.target", p.want.Product, 0))
 	need := f.rate(p, f.floor(p))
 	f.cands = f.cands[:0]
-	for i := range f.nodes {
-		if !f.holds(i, p) {
+	for _, i := range f.holders(p) {
+		if f.nodes[i].phase != front.Ready {
 			continue
 		}
 		c, full := cand{at: i, room: f.room(now, i)}, false
@@ -403,14 +405,6 @@
 
 func (f *Front) ownZone(at int) bool { return f.nodes[at].zone == int(f.of("zone", 0, -1)) }
 
-// holds tells that a node is ready and holds the title.
-func (f *Front) holds(at int, p *ply) bool {
-	n := &f.nodes[at]
-	cells := max(1, int(f.val("cells")))
-	off := ((n.cell-p.want.Home)%cells + cells) % cells
-	return n.listed && n.phase == front.Ready && off < p.want.Copies
-}
-
 // full tells that one play more would cost all plays there more than it earns: the link is lately
 // known to be all asked for, and own plays there cannot step down to make the room. Guards against
 // a crowd piling onto links where all stand on their floors; an old figure turns nobody away.
@@ -482,10 +476,8 @@
 
 // rackSum adds up what is asked of a rack's links, kB a second.
 func (f *Front) rackSum(now int64, rk int) (sum float64) {
-	for i := range f.nodes {
-		if f.nodes[i].rack == rk && f.nodes[i].listed {
-			sum += f.linkAsked(now, i) * f.capacity(now, i)
-		}
+	for _, i := range f.racks[rk].nodes {
+		sum += f.linkAsked(now, i) * f.capacity(now, i)
 	}
 	return sum
 }
@@ -619,8 +611,8 @@
 		return r.link.at > 0 && r.link.asked >= roomMark
 	}
 	with, short := 0, 0
-	for i := range f.nodes {
-		if f.nodes[i].rack == rk && len(f.nodes[i].plays) > 0 {
+	for _, i := range r.nodes {
+		if len(f.nodes[i].plays) > 0 {
 			with++
 			if s := f.shareNow(now, i); s < 1 && math.Abs(s-share) < alike {
 				short++
--- a/choice/state.go
+++ b/choice/state.go
@@ -12,6 +12,7 @@
 	rnd     pcg.Source
 	nodes   []node
 	racks   []rack
+	cells   [][]int // listed nodes by cell
 	kinds   []kind
 	plays   slab.Slab[ply]
 	waiting []front.Handle
@@ -22,6 +23,7 @@
 	samples int     // |W|
 	level   float64 // mean rung of own plays that could still rise
 	probes  float64 // probes that may be sent now
+	held    []int   // nodes of the last title asked for
 	cands   []cand
 	res     front.Result
 }
@@ -65,9 +67,10 @@
 
 // rack is a rack and its uplink.
 type rack struct {
-	own  float64
-	link account
-	seen memory
+	nodes []int // those listed
+	own   float64
+	link  account
+	seen  memory
 }
 
 // account is the last figure told of a link and what the front itself has changed since.
