Old and missing figures of a link fade into the average of those told

Cause: with few plays a front knows few links; the rest counted as empty, so blind set-ups went to rungs that no link had room for, and stale good figures drew plays. Guards against herding on stale or unknown links; could harm where links differ lastingly and are seldom told.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -43,6 +43,8 @@
 	shortHolds  = 1500 * ms // a note of shortage, due each second, counts this long
 	alike       = 0.1       // shares this near tell of one cause
 	regain      = 25 * sec  // a link seen short counts as giving twice as much again after this
+	fades       = 20 * sec  // an older figure says no more of a link than what links are asked on average
+	usualOver   = 10.0      // figures that this average goes over
 	crowd       = 0.75      // of own changes since a report: what the others, if many, are taken to add
 	nearRoom    = 0.1       // of the most room: holders this near are equals, drawn at random
 	farCost     = 0.1       // asked over given: another zone's node counts as so much fuller, with no room
@@ -462,7 +464,9 @@
 }
 
 func (f *Front) linkAsked(now int64, at int) float64 {
-	return f.asked(f.nodes[at].link, f.nodes[at].own, f.capacity(now, at))
+	a := f.nodes[at].link
+	a.asked += (f.usual - a.asked) * min(1, float64(now-a.at)/float64(fades))
+	return f.asked(a, f.nodes[at].own, f.capacity(now, at))
 }
 
 // uplinkAsked is a rack's account: told, or else added up over its links.
@@ -523,6 +527,7 @@
 		}
 	}
 	if l.Link >= 0 {
+		f.usual += (l.Link - f.usual) / usualOver
 		n.link = account{now, l.Link, n.own - late}
 	}
 	if r := &f.racks[n.rack]; l.Uplink >= 0 {
--- a/choice/state.go
+++ b/choice/state.go
@@ -21,6 +21,7 @@
 	taken   []int64 // when plays were taken, within the budget's window
 	again   []int64 // when further allocations were made, within the same
 	samples int     // |W|
+	usual   float64 // what links are asked on average, over given
 	level   float64 // mean rung of own plays that could still rise
 	probes  float64 // probes that may be sent now
 	held    []int   // nodes of the last title asked for
