--- a/choice/choice.go
+++ b/choice/choice.go
@@ -465,7 +465,8 @@
 
 func (f *Front) linkAsked(now int64, at int) float64 {
 	a := f.nodes[at].link
-	a.asked += (f.usual - a.asked) * min(1, float64(now-a.at)/float64(fades))
+	old := float64(now-a.at) / float64(fades)
+	a.asked += (f.usual - a.asked) * min(1, old*old)
 	return f.asked(a, f.nodes[at].own, f.capacity(now, at))
 }
 
