Ask again about old figures the sooner the more own plays they keep down

At size a front has one play on a node and paid 2 to 4 probes a play to hear that its link is still full. Could harm where one own play holds a link that empties: it waits up to 16 s.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,7 +51,7 @@
 	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
 	settle      = 1500 * ms // beyond the notes' lag: smoothed, they take as long to show a change
 	freshFor    = 1500 * ms // an older report is asked again before a step up
-	recheck     = 4 * sec   // an older figure that keeps plays down is asked again
+	recheck     = 16 * sec  // an older figure that keeps one own play down is asked again; two, twice as soon
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
 	perPlay     = 1.0       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
@@ -674,7 +674,7 @@
 		return
 	}
 	room := f.room(now, at)
-	if f.val("probing") > 0 && now-n.link.at > recheck { // too old to keep plays down by: ask again
+	if f.val("probing") > 0 && now-n.link.at > recheck/int64(len(n.plays)) { // too old to keep plays down by: ask again
 		room = math.Inf(1)
 	}
 	part := room * min(1, n.own/max(1, f.linkAsked(now, at)*f.capacity(now, at)))
