A short link loses one play in ten seconds, not one of each front

Now each front moves its play with the chance of its own part of what is asked. Guards against any link-wide pace kept by each front alone; could harm where a front does not know what others ask of the link and takes too much for its part.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -665,6 +665,11 @@
 	}
 }
 
+// part is the part of what is asked of a link that own plays ask.
+func (f *Front) part(now int64, at int) float64 {
+	return f.nodes[at].own / max(1, f.nodes[at].own, f.linkAsked(now, at)*f.capacity(now, at))
+}
+
 // raise steps plays of a node up while the next rate fits, each front by its part of the room as
 // all see the same, those first that gain most for the rate.
 func (f *Front) raise(now int64, at int) {
@@ -677,7 +682,7 @@
 	if f.val("probing") > 0 && now-n.link.at > recheck/int64(len(n.plays)) { // too old to keep plays down by: ask again
 		room = math.Inf(1)
 	}
-	part := room * min(1, n.own/max(1, f.linkAsked(now, at)*f.capacity(now, at)))
+	part := room * f.part(now, at)
 	for part > 0 {
 		h, p := f.best(at, func(p *ply) float64 {
 			if p.rung >= min(f.top(p), f.reach()) || now-p.raised < upEvery || f.more(p, p.rung+1) > room {
@@ -728,8 +733,8 @@
 		}
 		return f.rate(p, p.rung) / f.importance(p)
 	})
-	if p != nil {
-		n.shedAt = now
+	n.shedAt = now
+	if p != nil && f.rnd.Float() < f.part(now, at) { // the link loses one, whichever front's it is
 		f.viewers[p.want.Viewer] = viewer{at + 1, now, now}
 		f.order(front.Order{Play: h, Do: front.Move})
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -442,3 +442,39 @@
 		t.Fatal("held past its limit")
 	}
 }
+
+func TestOneOfManyFrontsLeavesMostMovesToOthers(t *testing.T) {
+	f, moved := fleet(1), 0
+	playingAt(f, 0, 0, 0, 0)
+	for i := range int64(40) {
+		f.viewers[1].movedAt = never
+		n := &f.nodes[0]
+		n.link = account{now + i*shedEvery, 1.1, n.own} // own plays ask a tenth
+		n.share, n.shareAt, n.shortFrom = 0.9, n.link.at, n.link.at-checkGap
+		f.begin()
+		f.shed(n.link.at, 0)
+		moved += count(&f.res, front.Move)
+	}
+	if moved == 0 || moved > 10 {
+		t.Fatalf("%d moves in 40 turns", moved)
+	}
+}
+
+func TestOwnSetUpCountsAlikeAmongManyFronts(t *testing.T) {
+	f := fleet(1, func(s map[string][]float64) { s["fronts"] = []float64{300} })
+	f.nodes[0].link = account{now, 0.4, 0}
+	playingAt(f, 0, 0, 0, now)
+	if a := f.linkAsked(now, 0); a > 0.6 {
+		t.Fatalf("100 of 1000 more counts as %v", a-0.4)
+	}
+}
+
+func TestUnknownAndOldFiguresFadeIntoTheAverage(t *testing.T) {
+	f := fleet(2)
+	f.usual = 0.7
+	f.nodes[0].link = account{now, 0.2, 0}
+	young, old, untold := f.linkAsked(now+2*sec, 0), f.linkAsked(now+fades, 0), f.linkAsked(now, 1)
+	if young > 0.25 || old != 0.7 || untold != 0.7 {
+		t.Fatalf("young %v, old %v, untold %v", young, old, untold)
+	}
+}
