--- a/choice/choice.go
+++ b/choice/choice.go
@@ -32,7 +32,7 @@
 	upEvery   = 10 * sec  // a play steps up no more often
 
 	// Ours, where the design is silent.
-	overMark    = 1.0       // asked over given: steps down begin; reports are noisy, stalls start at 1.02
+	overMark    = 0.95      // asked over given: steps down begin, as on the design page
 	cutTo       = 0.92      // asked over given that they aim at: clear of stalls, no see-saw with roomMark
 	fullMark    = 1.0       // asked over given: past it a play more costs all there more than it earns
 	fullFor     = 4 * sec   // an older figure turns nobody away
