Moves off a link on its floors go by how far it stays short

A sick link that stays deep short with its plays on their floors was left by one play in ten seconds.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -734,7 +734,8 @@
 		return f.rate(p, p.rung) / f.importance(p)
 	})
 	n.shedAt = now
-	if p != nil && f.rnd.Float() < f.part(now, at) { // the link loses one, whichever front's it is
+	over := float64(len(n.plays)) * (1 - f.shareNow(now, at)) // own plays that the link can't carry
+	if p != nil && f.rnd.Float() < max(over, f.part(now, at)) { // the link loses one, whichever front's it is
 		f.viewers[p.want.Viewer] = viewer{at + 1, now, now}
 		f.order(front.Order{Play: h, Do: front.Move})
 	}
