--- a/choice/choice.go
+++ b/choice/choice.go
@@ -267,6 +267,15 @@
 	if below == 0 && all > 0 {
 		f.level = math.Inf(1)
 	}
+	if !f.told { // nothing is known but own plays: the other fronts are taken to hold as many
+		own, given := 0.0, 1.0
+		for at := range f.nodes {
+			if f.nodes[at].listed {
+				own, given = own+f.nodes[at].own, given+f.capacity(now, at)
+			}
+		}
+		f.usual = own * max(1, f.val("fronts")) / given
+	}
 	for at := range f.nodes {
 		if len(f.nodes[at].plays) > 0 {
 			f.shed(now, at)
@@ -464,10 +473,10 @@
 }
 
 func (f *Front) linkAsked(now int64, at int) float64 {
-	a := f.nodes[at].link
-	old := float64(now-a.at) / float64(fades)
-	a.asked += (f.usual - a.asked) * min(1, old*old)
-	return f.asked(a, f.nodes[at].own, f.capacity(now, at))
+	n, full := &f.nodes[at], f.capacity(now, at)
+	old := float64(now-n.link.at) / float64(fades)
+	told := f.asked(n.link, n.own, full)
+	return max(n.own/full, told+(f.usual-told)*min(1, old*old))
 }
 
 // uplinkAsked is a rack's account: told, or else added up over its links.
@@ -528,7 +537,7 @@
 		}
 	}
 	if l.Link >= 0 {
-		f.usual += (l.Link - f.usual) / usualOver
+		f.usual, f.told = f.usual+(l.Link-f.usual)/usualOver, true
 		n.link = account{now, l.Link, n.own - late}
 	}
 	if r := &f.racks[n.rack]; l.Uplink >= 0 {
@@ -734,7 +743,7 @@
 		return f.rate(p, p.rung) / f.importance(p)
 	})
 	n.shedAt = now
-	over := float64(len(n.plays)) * (1 - f.shareNow(now, at)) // own plays that the link can't carry
+	over := float64(len(n.plays)) * (1 - f.shareNow(now, at))   // own plays that the link can't carry
 	if p != nil && f.rnd.Float() < max(over, f.part(now, at)) { // the link loses one, whichever front's it is
 		f.viewers[p.want.Viewer] = viewer{at + 1, now, now}
 		f.order(front.Order{Play: h, Do: front.Move})
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -478,3 +478,17 @@
 		t.Fatalf("young %v, old %v, untold %v", young, old, untold)
 	}
 }
+
+func TestFrontToldNothingTakesOthersToHoldAsMuch(t *testing.T) {
+	f := fleet(4, func(s map[string][]float64) { s["fronts"] = []float64{20} })
+	playingAt(f, 0, 0, 1, 0)
+	f.Wake(now)
+	if math.Abs(f.usual-1) > 0.01 { // 200 of own, 20 fronts, 4 links of 1000
+		t.Fatalf("links are taken to be asked %v", f.usual)
+	}
+	f.report(now, 1, front.Load{Streams: -1, Link: 0.5, Uplink: -1}, reportLag)
+	f.Wake(now + 1)
+	if f.usual > 0.96 {
+		t.Fatalf("after a figure of 0.5 still %v", f.usual)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -22,6 +22,7 @@
 	again   []int64 // when further allocations were made, within the same
 	samples int     // |W|
 	usual   float64 // what links are asked on average, over given
+	told    bool    // any figure yet
 	level   float64 // mean rung of own plays that could still rise
 	probes  float64 // probes that may be sent now
 	held    []int   // nodes of the last title asked for
