Look at the chosen holder and one equal by probes before placing

Where probes are allowed and the chosen holder has room by the account, it and one of its equals are probed and the play is placed by the answers, within 100 ms. Guards also against nodes that died unlisted; could harm where all fronts hear the same old figure.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,7 +53,9 @@
 	freshFor    = 1500 * ms // an older report is asked again before a step up
 	recheck     = 16 * sec  // an older figure that keeps one own play down is asked again; two, twice as soon
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
-	perPlay     = 1.0       // probes earned by each play taken, which keeps their price near its unit
+	looks       = 3         // draws for an equal to look at beside the holder chosen
+	lookFor     = 100 * ms  // a play waits no longer for an answer to its look
+	perPlay     = 1.5       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
 	firstShare  = 0.5       // of the time to the first-frame target one allocation may take: leaves one more
 	holdShare   = 0.4       // of the first-frame target a play may wait for a cold or full node's turn
@@ -236,19 +238,14 @@
 			}
 		}
 	}
+	f.placeWaiting(now, false)
 	return f.end(now)
 }
 
 // Wake does what is due: plays that wait, payoffs, steps up, plays to move off short links.
 func (f *Front) Wake(now int64) *front.Result {
 	f.begin()
-	waiting := f.waiting
-	f.waiting = f.waiting[:0]
-	for _, h := range waiting {
-		if p := f.plays.Get(h); p != nil && p.stage == held {
-			f.place(now, h, p)
-		}
-	}
+	f.placeWaiting(now, true)
 	below, sum, all := 0, 0, 0
 	for i := range f.plays.Len() {
 		_, p := f.plays.At(i)
@@ -320,6 +317,13 @@
 		}
 		return
 	}
+	if !p.looked {
+		p.looked = true
+		if f.room(now, at) >= f.rate(p, f.floor(p)) && f.look(now, p, at) {
+			f.waiting = append(f.waiting, h)
+			return
+		}
+	}
 	n := &f.nodes[at]
 	p.rung, p.stage, p.sent = f.fit(p, f.room(now, at)), settingUp, now
 	if p.try++; p.try > 0 {
@@ -334,6 +338,52 @@
 	}
 }
 
+// look probes the holder chosen and one of its equals, where their figures are old, and tells
+// that an answer is to come: the play is placed by it.
+func (f *Front) look(now int64, p *ply, at int) bool {
+	if f.val("probing") == 0 {
+		return false
+	}
+	p.look = [2]int{at, at}
+	for range looks {
+		if c := f.cands[f.rnd.Below(len(f.cands))].at; c != at {
+			p.look[1] = c
+		}
+	}
+	for _, at := range p.look {
+		if now-f.nodes[at].link.at > freshFor {
+			f.probe(now, at, 1)
+		}
+	}
+	return f.looking(now, p)
+}
+
+// looking tells that a play still waits for what it looked at.
+func (f *Front) looking(now int64, p *ply) bool {
+	for _, at := range p.look {
+		if n := &f.nodes[at]; n.probing && now-n.probedAt < lookFor {
+			return p.looked
+		}
+	}
+	return false
+}
+
+// placeWaiting places the plays that wait for nothing more, or for long enough.
+func (f *Front) placeWaiting(now int64, due bool) {
+	waiting := f.waiting
+	f.waiting = f.waiting[:0]
+	for _, h := range waiting {
+		p := f.plays.Get(h)
+		switch {
+		case p == nil || p.stage != held:
+		case f.looking(now, p) || !due && !p.looked:
+			f.waiting = append(f.waiting, h)
+		default:
+			f.place(now, h, p)
+		}
+	}
+}
+
 // until is when an allocation is given up: a paid play waits to its limit, another leaves time
 // for one more to meet the first-frame target while one may still be made.
 func (f *Front) until(now int64, p *ply) int64 {
--- a/choice/state.go
+++ b/choice/state.go
@@ -119,6 +119,8 @@
 	started int64
 	raised  int64 // last step up
 	sampled bool
+	looked  bool   // its first look at holders was taken
+	look    [2]int // at these
 }
 
 // viewer is what outlasts a play: a viewer's key comes again with a new play.
