--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,7 +51,7 @@
 	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
 	settle      = 1500 * ms // beyond the notes' lag: smoothed, they take as long to show a change
 	freshFor    = 1500 * ms // an older report is asked again before a step up
-	recheck     = 16 * sec  // an older figure that keeps one own play down is asked again; two, twice as soon
+	recheck     = 32 * sec  // an older figure that keeps one own play down is asked again; of two, twice as soon
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
 	looks       = 3         // draws for an equal to look at beside the holder chosen
 	lookFor     = 100 * ms  // a play waits no longer for an answer to its look
