--- a/choice/choice.go
+++ b/choice/choice.go
@@ -761,6 +761,9 @@
 			return
 		}
 		if f.val("probing") > 0 && now-n.link.at > freshFor {
+			if now-n.raisedAt < upEvery/int64(len(n.plays)) { // asked and drawn for just before
+				return
+			}
 			f.probe(now, at, 0) // unrationed: a step up earns many times a probe's price
 			return
 		}
