--- a/choice/book.go
+++ b/choice/book.go
@@ -16,6 +16,7 @@
 }
 
 func (f *Front) begin() {
+	f.changes++
 	f.res.Orders, f.res.Probes = f.res.Orders[:0], f.res.Probes[:0]
 }
 
@@ -71,6 +72,7 @@
 
 func (f *Front) rerate(p *ply, rung int) {
 	n, more := &f.nodes[p.node], f.rate(p, rung)-f.rate(p, p.rung)
+	f.changes++
 	n.own += more
 	f.racks[n.rack].own += more
 	p.rung = rung
@@ -103,6 +105,7 @@
 // bind and unbind enter a play at a node and take it out: its seat, its rate, its place in the list.
 func (f *Front) bind(h front.Handle, p *ply, at int) {
 	p.node = at
+	f.changes++
 	n := &f.nodes[at]
 	n.plays = append(n.plays, h)
 	n.own += f.rate(p, p.rung)
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -55,7 +55,7 @@
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
 	looks       = 3         // draws for an equal to look at beside the holder chosen
 	lookFor     = 100 * ms  // a play waits no longer for an answer to its look
-	perPlay     = 1.5       // probes earned by each play taken, which keeps their price near its unit
+	perPlay     = 0.7       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
 	firstShare  = 0.5       // of the time to the first-frame target one allocation may take: leaves one more
 	holdShare   = 0.4       // of the first-frame target a play may wait for a cold or full node's turn
@@ -90,7 +90,7 @@
 	for _, l := range list {
 		n := f.known(l.Index)
 		if l.Started > n.started { // a fresh process: cold, healthy, its load unknown
-			n.slot, n.link, n.seen, n.strikes, n.trial, n.skipUntil = -1, account{}, memory{}, 0, false, 0
+			n.slot, n.link, n.seen, n.strikes, n.skipUntil = -1, account{}, memory{}, 0, 0
 		}
 		n.listed = l.Phase != front.Gone
 		n.phase, n.kind, n.zone, n.cell = l.Phase, l.Kind, l.Zone, l.Cell
@@ -137,7 +137,7 @@
 		p.stage, p.started = playing, now
 		n := &f.nodes[p.node]
 		n.settingUp--
-		n.strikes, n.trial = 0, false
+		n.strikes = 0
 		if n.lostAt > f.warmsFrom(p.node) { // back, and cold again before the list says so
 			n.backAt, n.slot = now, -1
 		}
@@ -411,7 +411,7 @@
 				f.probe(now, i, 1)
 			}
 		}
-		if full || !f.healthy(now, i) || !f.pace(now, i) {
+		if full || now < f.nodes[i].skipUntil || !f.pace(now, i) {
 			wait = wait || now < holdUntil && f.nodes[i].skipUntil < holdUntil
 			continue
 		}
@@ -539,11 +539,15 @@
 }
 
 // rackSum adds up what is asked of a rack's links, kB a second.
-func (f *Front) rackSum(now int64, rk int) (sum float64) {
-	for _, i := range f.racks[rk].nodes {
-		sum += f.linkAsked(now, i) * f.capacity(now, i)
+func (f *Front) rackSum(now int64, rk int) float64 {
+	r := &f.racks[rk]
+	if r.sumAt != now || r.sumOf != f.changes { // else nothing it rests on has changed
+		r.sum, r.sumAt, r.sumOf = 0, now, f.changes
+		for _, i := range r.nodes {
+			r.sum += f.linkAsked(now, i) * f.capacity(now, i)
+		}
 	}
-	return sum
+	return r.sum
 }
 
 // used is how much is asked of a node's link or uplink, or was told short, whichever is most.
@@ -577,6 +581,7 @@
 	if l.Link < 0 && l.Uplink < 0 {
 		return
 	}
+	f.changes++
 	n := &f.nodes[at]
 	late := 0.0
 	for _, h := range n.plays {
@@ -806,8 +811,7 @@
 // ---- Health ----
 
 // judge takes an allocation's end as a symptom. Guards against a node that fails, hangs or breaks
-// while its kind does well: it is skipped, then on probation until a set-up succeeds. One that
-// refused as full is left alone for a little, whatever late reports say of it.
+// while its kind does well: it is skipped, longer when it fails again. One that refused as full is left alone for a little, whatever late reports say of it.
 func (f *Front) judge(now int64, at int, how front.Ending) {
 	n := &f.nodes[at]
 	switch how {
@@ -820,16 +824,9 @@
 	case front.Errored, front.NoAnswer:
 		n.skipUntil = now + skipFor<<min(n.strikes, 1)
 		n.strikes++
-		n.trial = true
 	}
 }
 
-// healthy tells that a node is neither skipped nor busy with its one set-up on probation.
-func (f *Front) healthy(now int64, at int) bool {
-	n := &f.nodes[at]
-	return now >= n.skipUntil && !(n.trial && n.settingUp > 0)
-}
-
 // ---- The six rules: each by one piece of code ----
 
 // giveUp answers a play, once as it drops it. A paid one that may have run fails; others are declined.
--- a/choice/state.go
+++ b/choice/state.go
@@ -22,6 +22,7 @@
 	again   []int64 // when further allocations were made, within the same
 	samples int     // |W|
 	usual   float64 // what links are asked on average, over given
+	changes int     // to any account
 	told    bool    // any figure yet
 	level   float64 // mean rung of own plays that could still rise
 	probes  float64 // probes that may be sent now
@@ -60,7 +61,6 @@
 	probing   bool
 	strikes   int // failures or refusals in a row
 	skipUntil int64
-	trial     bool // on probation: one set-up at a time
 	settingUp int
 	lostAt    int64 // last seen to break
 	backAt    int64 // first play after that
@@ -73,6 +73,9 @@
 	own   float64
 	link  account
 	seen  memory
+	sum   float64 // what is asked of its links, as of sumAt
+	sumAt int64
+	sumOf int // changes made by then
 }
 
 // account is the last figure told of a link and what the front itself has changed since.
