--- a/choice/choice.go
+++ b/choice/choice.go
@@ -272,6 +272,7 @@
 			}
 		}
 		f.usual = own * max(1, f.val("fronts")) / given
+		f.usualUp = own * max(1, f.val("fronts")) / (1 + f.val("uplink.rate")*float64(len(f.racks)))
 	}
 	for at := range f.nodes {
 		if len(f.nodes[at].plays) > 0 {
@@ -319,7 +320,7 @@
 	}
 	if !p.looked {
 		p.looked = true
-		if f.room(now, at) >= f.rate(p, f.floor(p)) && f.look(now, p, at) {
+		if f.look(now, p, at) {
 			f.waiting = append(f.waiting, h)
 			return
 		}
@@ -513,27 +514,27 @@
 	return min(told, seen.given*(1+age*age))
 }
 
-// asked is an account: own plays, or the last figure told and what was changed since. Each other
-// front is taken to have added a part of what this one did. Guards against a crowd that all of
-// them meet at once, and against steps up on links of which nothing was told yet.
-func (f *Front) asked(a account, own, capacity float64) float64 {
+// asked is an account: own plays, or the last figure told and what was changed since, of which the
+// others are taken to have added a part. A figure fades with its age into what is asked on average.
+// Guards against herds on stale figures, and against steps up on links of which nothing was told.
+// It could harm where links differ lastingly and are seldom told.
+func (f *Front) asked(now int64, a account, own, capacity, usual float64) float64 {
 	others := 1 - 1/max(1, f.val("fronts"))
-	since := own - a.own
-	return max(own/capacity, a.asked+(since+max(0, since)*others*crowd)/capacity)
+	since, old := own-a.own, float64(now-a.at)/float64(fades)
+	told := max(own/capacity, a.asked+(since+max(0, since)*others*crowd)/capacity)
+	return max(own/capacity, told+(usual-told)*min(1, old*old))
 }
 
 func (f *Front) linkAsked(now int64, at int) float64 {
-	n, full := &f.nodes[at], f.capacity(now, at)
-	old := float64(now-n.link.at) / float64(fades)
-	told := f.asked(n.link, n.own, full)
-	return max(n.own/full, told+(f.usual-told)*min(1, old*old))
+	n := &f.nodes[at]
+	return f.asked(now, n.link, n.own, f.capacity(now, at), f.usual)
 }
 
 // uplinkAsked is a rack's account: told, or else added up over its links.
 func (f *Front) uplinkAsked(now int64, rk int) float64 {
 	r := &f.racks[rk]
 	if f.val("reports.uplink") > 0 {
-		return f.asked(r.link, r.own, f.uplink(now, rk))
+		return f.asked(now, r.link, r.own, f.uplink(now, rk), f.usualUp)
 	}
 	return f.rackSum(now, rk) / f.uplink(now, rk)
 }
@@ -596,6 +597,7 @@
 		n.link = account{now, l.Link, n.own - late}
 	}
 	if r := &f.racks[n.rack]; l.Uplink >= 0 {
+		f.usualUp += (l.Uplink - f.usualUp) / usualOver
 		r.link = account{now, l.Uplink, r.own - late}
 	}
 	f.cut(now, at, max(l.Link, l.Uplink), overMark)
--- a/choice/state.go
+++ b/choice/state.go
@@ -22,6 +22,7 @@
 	again   []int64 // when further allocations were made, within the same
 	samples int     // |W|
 	usual   float64 // what links are asked on average, over given
+	usualUp float64 // the same of uplinks
 	changes int     // to any account
 	told    bool    // any figure yet
 	level   float64 // mean rung of own plays that could still rise
