--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -491,3 +491,75 @@
 		t.Fatalf("after a figure of 0.5 still %v", f.usual)
 	}
 }
+
+func probing(set map[string][]float64) { set["probing"] = []float64{1} }
+
+func TestLooksAtHoldersBeforePlacing(t *testing.T) {
+	f := fleet(2, probing)
+	h, r := f.Take(now, want(0))
+	if len(r.Orders) != 0 || len(r.Probes) == 0 {
+		t.Fatalf("want probes before an order, got %+v", r)
+	}
+	for _, at := range []int{0, 1} { // node 1 is nearly full
+		r = f.Probed(now+10*ms, at, front.Served, front.Load{Streams: -1, Link: 0.1 + 0.7*float64(at), Uplink: -1})
+	}
+	if p := f.plays.Get(h); p.stage != settingUp || p.node != 0 {
+		t.Fatalf("placed on node %d", p.node)
+	}
+}
+
+func TestLookEndsWithoutAnAnswer(t *testing.T) {
+	f := fleet(2, probing)
+	h, _ := f.Take(now, want(0))
+	f.Wake(now + lookFor)
+	if p := f.plays.Get(h); p.stage != settingUp {
+		t.Fatal("still waits for a probe that is not answered")
+	}
+}
+
+func TestOldFigureOfOnePlayIsAskedSeldom(t *testing.T) {
+	asks := func(plays int) bool {
+		f := fleet(1, probing)
+		for range plays {
+			playingAt(f, 0, 0, 0, 0)
+		}
+		f.nodes[0].link, f.usual = account{now - recheck/2, 0.9, f.nodes[0].own}, 0.9
+		f.begin()
+		f.raise(now, 0)
+		return len(f.res.Probes) > 0
+	}
+	if asks(1) || !asks(3) {
+		t.Fatal("want a figure asked again for three plays, not yet for one")
+	}
+}
+
+func TestFullUplinkNotHeardOfCountsAsTheAverage(t *testing.T) {
+	f := fleet(4, func(s map[string][]float64) { s["reports.uplink"] = []float64{1} })
+	for i := range int64(40) {
+		f.report(now+i, 0, front.Load{Streams: -1, Link: 0.3, Uplink: 2}, 0)
+	}
+	if a := f.uplinkAsked(now, 1); a < 1.8 {
+		t.Fatalf("an uplink of which nothing was told counts as asked %v", a)
+	}
+}
+
+func TestClockAheadAndHundredsOfFrontsAndNodes(t *testing.T) {
+	f := fleet(400, func(s map[string][]float64) {
+		s["fronts"], s["cells"], s["racks"] = []float64{300}, []float64{400}, []float64{40}
+	})
+	at := int64(now)
+	for range 50 { // a front that stands still for two seconds between all it hears
+		w := want(1)
+		w.Limit = at + 4*sec
+		h, _ := f.Take(at, w)
+		f.Wake(at)
+		at += 2 * sec
+		if p := f.plays.Get(h); p != nil && p.stage == held {
+			t.Fatal("held over a stall")
+		}
+		f.Ended(at, h, 0, front.NoAnswer, false, front.Untold)
+	}
+	if len(f.waiting) != 0 || f.plays.Get(front.Handle{}) != nil {
+		t.Fatal("something is left over")
+	}
+}
