Plays on links far behind the average may exceed the reach

A link that stays under 0.7 of the average is no place where the first to come fill it. Guards against a few full nodes holding all others down; could harm where a crowd comes to just the empty ones.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,7 @@
 	fullMark    = 1.0       // asked over given: past it a play more costs all there more than it earns
 	fullFor     = 4 * sec   // an older figure turns nobody away
 	rungSpacing = 1.0       // rungs a play may start or rise to over the mean of those that could rise
+	behind      = 0.7       // of the average asked of links: one under it after a step may exceed the reach
 	swapGain    = 3.0       // a step up must earn this many times its price
 	leastLeft   = 20 * sec  // an untold length: as much is left as has played, this at least
 	shortUnder  = 0.98      // share of rate: below it a play loses worth
@@ -234,7 +235,7 @@
 		f.report(now, at, load, reportLag)
 		for _, h := range n.plays {
 			if p := f.plays.Get(h); p.stage == settingUp {
-				f.setRung(now, h, p, f.fit(p, f.room(now, at)+f.rate(p, p.rung)))
+				f.setRung(now, h, p, f.fit(now, at, p, f.room(now, at)+f.rate(p, p.rung)))
 			}
 		}
 	}
@@ -326,7 +327,7 @@
 		}
 	}
 	n := &f.nodes[at]
-	p.rung, p.stage, p.sent = f.fit(p, f.room(now, at)), settingUp, now
+	p.rung, p.stage, p.sent = f.fit(now, at, p, f.room(now, at)), settingUp, now
 	if p.try++; p.try > 0 {
 		f.again = append(since(f.again, now-int64(f.val("budget.over"))-budgetEdge), now)
 	}
@@ -416,7 +417,7 @@
 			wait = wait || now < holdUntil && f.nodes[i].skipUntil < holdUntil
 			continue
 		}
-		c.rung = f.fit(p, c.room)
+		c.rung = f.fit(now, i, p, c.room)
 		f.cands = append(f.cands, c)
 	}
 	if len(f.cands) == 0 {
@@ -564,14 +565,21 @@
 }
 
 // fit is the highest rung that a room takes, within reach.
-func (f *Front) fit(p *ply, room float64) int {
-	r := max(f.floor(p), min(f.top(p), f.reach()))
-	for r > f.floor(p) && f.rate(p, r) > room {
+func (f *Front) fit(now int64, at int, p *ply, room float64) int {
+	r := f.top(p)
+	for r > f.floor(p) && (f.rate(p, r) > room || !f.inReach(now, at, r, f.rate(p, r))) {
 		r--
 	}
 	return r
 }
 
+// inReach tells that a play may take a rung that asks so much more of a link: one within reach, or
+// any on a link that stays far behind the average. Guards against nodes of little wanted titles that
+// stand empty while full ones keep the reach low; it could harm where a crowd comes to just these.
+func (f *Front) inReach(now int64, at, rung int, more float64) bool {
+	return rung <= f.reach() || f.linkAsked(now, at)+more/f.capacity(now, at) <= behind*f.usual
+}
+
 // reach is the highest rung that a play may start at or step up to. A rung more earns several
 // times as much low on the ladder as high on it for the same rate, so the first to come must not
 // fill the links. A front without plays starts low, as it knows nothing of the links.
@@ -751,7 +759,10 @@
 	part := room * f.part(now, at)
 	for part > 0 {
 		h, p := f.best(at, func(p *ply) float64 {
-			if p.rung >= min(f.top(p), f.reach()) || now-p.raised < upEvery || f.more(p, p.rung+1) > room {
+			if p.rung >= f.top(p) || now-p.raised < upEvery || f.more(p, p.rung+1) > room {
+				return 0
+			}
+			if !f.inReach(now, at, p.rung+1, f.more(p, p.rung+1)) {
 				return 0
 			}
 			left := max(leastLeft, now-p.started)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -122,11 +122,11 @@
 func TestSetUpKeepsLinkAndUplinkUnderTheMark(t *testing.T) {
 	f := fleet(1)
 	f.nodes[0].link = account{now, 0.6, 0}
-	if r := f.fit(&ply{want: want(0)}, f.room(now, 0)); r != 1 {
+	if r := f.fit(now, 0, &ply{want: want(0)}, f.room(now, 0)); r != 1 {
 		t.Fatalf("link at 0.6: rung %d", r)
 	}
 	f.set["uplink.rate"] = []float64{850}
-	if r := f.fit(&ply{want: want(0)}, f.room(now, 0)); r != 0 {
+	if r := f.fit(now, 0, &ply{want: want(0)}, f.room(now, 0)); r != 0 {
 		t.Fatalf("uplink near full: rung %d", r)
 	}
 }
@@ -134,7 +134,7 @@
 func TestRungsKeepTheirSpacing(t *testing.T) {
 	f := fleet(1)
 	f.level = 0
-	if r := f.fit(&ply{want: want(0)}, 1e9); r != 1 {
+	if r := f.fit(now, 0, &ply{want: want(0)}, 1e9); r != 1 {
 		t.Fatalf("rung %d over plays at 0", r)
 	}
 }
@@ -563,3 +563,18 @@
 		t.Fatal("something is left over")
 	}
 }
+
+func TestLinkFarBehindTheAverageMayExceedTheReach(t *testing.T) {
+	f := fleet(2)
+	f.level, f.usual = 0, 0.9
+	f.nodes[0].link, f.nodes[1].link = account{now, 0.1, 0}, account{now, 0.6, 0}
+	for at, want := range []int{2, 1} {
+		_, p := playingAt(f, at, 0, 1, 0)
+		f.begin()
+		f.nodes[at].link.own = f.nodes[at].own
+		f.raise(now, at)
+		if p.rung != want {
+			t.Fatalf("node %d: rung %d", at, p.rung)
+		}
+	}
+}
