--- a/choice/choice.go
+++ b/choice/choice.go
@@ -37,6 +37,7 @@
 	fullMark    = 1.0       // asked over given: past it a play more costs all there more than it earns
 	fullFor     = 4 * sec   // an older figure turns nobody away
 	rungSpacing = 1.0       // rungs a play may start or rise to over the mean of those that could rise
+	blindRungs  = 0.5       // the same on a node of which nothing is known: the mean, rounded
 	behind      = 0.7       // of the average asked of links: one under it after a step may exceed the reach
 	swapGain    = 3.0       // a step up must earn this many times its price
 	leastLeft   = 20 * sec  // an untold length: as much is left as has played, this at least
@@ -572,13 +573,20 @@
 // any on a link that stays far behind the average. Guards against nodes of little wanted titles that
 // stand empty while full ones keep the reach low; it could harm where a crowd comes to just these.
 func (f *Front) inReach(now int64, at, rung int, more float64) bool {
-	return rung <= f.reach() || f.linkAsked(now, at)+more/f.capacity(now, at) <= behind*f.usual
+	return rung <= f.reach(now, at) || f.linkAsked(now, at)+more/f.capacity(now, at) <= behind*f.usual
 }
 
 // reach is the highest rung that a play may start at or step up to. A rung more earns several
 // times as much low on the ladder as high on it for the same rate, so the first to come must not
-// fill the links. A front without plays starts low, as it knows nothing of the links.
-func (f *Front) reach() int { return int(min(100, f.level+rungSpacing)) }
+// fill the links. On a node of which this front knows nothing the reach is the mean itself, rounded:
+// a start too high costs all there and a change of rung, one too low a step up. It could harm where
+// nodes are hardly used and seldom heard of.
+func (f *Front) reach(now int64, at int) int {
+	if n := &f.nodes[at]; now-n.link.at > fades && len(n.plays) == 0 {
+		return int(min(100, f.level+blindRungs))
+	}
+	return int(min(100, f.level+rungSpacing))
+}
 
 // report takes in what a node told of its link and uplink.
 func (f *Front) report(now int64, at int, l front.Load, lag int64) {
@@ -748,7 +756,7 @@
 		return
 	}
 	room := f.room(now, at)
-	if f.val("probing") > 0 && now-n.link.at > recheck/int64(len(n.plays)) { // too old to keep plays down by: ask again
+	if f.val("probing") > 0 && now-n.link.at > recheck/int64(len(n.plays)) { // too old to go by: ask
 		room = math.Inf(1)
 	}
 	part := room * f.part(now, at)
@@ -819,7 +827,8 @@
 // ---- Health ----
 
 // judge takes an allocation's end as a symptom. Guards against a node that fails, hangs or breaks
-// while its kind does well: it is skipped, longer when it fails again. One that refused as full is left alone for a little, whatever late reports say of it.
+// while its kind does well: it is skipped, longer when it fails again. One that refused as full is
+// left alone for a little, whatever late reports say of it.
 func (f *Front) judge(now int64, at int, how front.Ending) {
 	n := &f.nodes[at]
 	switch how {
