Tidy: a dead counter out, one place for own rates, holders robust to any first cell

settingUp was only counted since probation went out. Entering, leaving and changing a rate wrote node and rack apart in three places, and leaving did not mark the kept rack sums as changed; carry does all three. A first cell below 0 in a request is taken round again, as before the lists of holders, in place of a panic.

--- a/choice/book.go
+++ b/choice/book.go
@@ -50,8 +50,10 @@
 // holders are the listed nodes that hold a play's title.
 func (f *Front) holders(p *ply) []int {
 	f.held = f.held[:0]
-	for off := range min(p.want.Copies, len(f.cells)) {
-		f.held = append(f.held, f.cells[(p.want.Home+off)%len(f.cells)]...)
+	cells := len(f.cells)
+	home := (p.want.Home%cells + cells) % cells
+	for off := range min(p.want.Copies, cells) {
+		f.held = append(f.held, f.cells[(home+off)%cells]...)
 	}
 	return f.held
 }
@@ -71,11 +73,16 @@
 }
 
 func (f *Front) rerate(p *ply, rung int) {
-	n, more := &f.nodes[p.node], f.rate(p, rung)-f.rate(p, p.rung)
+	f.carry(p.node, f.rate(p, rung)-f.rate(p, p.rung))
+	p.rung = rung
+}
+
+// carry adds to the rates of own plays at a node and in its rack.
+func (f *Front) carry(at int, more float64) {
 	f.changes++
+	n := &f.nodes[at]
 	n.own += more
 	f.racks[n.rack].own += more
-	p.rung = rung
 }
 
 // best is the play of a node that plays and has most merit above 0.
@@ -105,11 +112,9 @@
 // bind and unbind enter a play at a node and take it out: its seat, its rate, its place in the list.
 func (f *Front) bind(h front.Handle, p *ply, at int) {
 	p.node = at
-	f.changes++
 	n := &f.nodes[at]
 	n.plays = append(n.plays, h)
-	n.own += f.rate(p, p.rung)
-	f.racks[n.rack].own += f.rate(p, p.rung)
+	f.carry(at, f.rate(p, p.rung))
 	*f.seat(p)++
 }
 
@@ -121,8 +126,7 @@
 			break
 		}
 	}
-	n.own -= f.rate(p, p.rung)
-	f.racks[n.rack].own -= f.rate(p, p.rung)
+	f.carry(p.node, -f.rate(p, p.rung))
 	*f.seat(p)--
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -137,7 +137,6 @@
 	if p := f.plays.Get(h); p != nil && p.stage == settingUp && p.try == try {
 		p.stage, p.started = playing, now
 		n := &f.nodes[p.node]
-		n.settingUp--
 		n.strikes = 0
 		if n.lostAt > f.warmsFrom(p.node) { // back, and cold again before the list says so
 			n.backAt, n.slot = now, -1
@@ -162,7 +161,6 @@
 	}
 	switch {
 	case was != playing:
-		f.nodes[at].settingUp--
 		f.judge(now, at, how)
 		if was == settingUp && how != front.Served && how != front.NotSent {
 			f.sample(f.nodes[at].kind, -1)
@@ -331,7 +329,6 @@
 	if p.try++; p.try > 0 {
 		f.again = append(since(f.again, now-int64(f.val("budget.over"))-budgetEdge), now)
 	}
-	n.settingUp++
 	n.slot, _ = f.turnOf(now, at)
 	f.bind(h, p, at)
 	f.order(front.Order{Play: h, Do: front.Place, Node: at, Rung: p.rung, Until: f.until(now, p)})
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -268,7 +268,6 @@
 
 func TestRefusingNodeIsLeftAlone(t *testing.T) {
 	f := fleet(1)
-	f.nodes[0].settingUp = 1
 	f.judge(now, 0, front.TurnedAway)
 	if f.nodes[0].skipUntil != now+refusedFor {
 		t.Fatalf("skipped for %d", f.nodes[0].skipUntil-now)
--- a/choice/state.go
+++ b/choice/state.go
@@ -62,7 +62,6 @@
 	probing   bool
 	strikes   int // failures or refusals in a row
 	skipUntil int64
-	settingUp int
 	lostAt    int64 // last seen to break
 	backAt    int64 // first play after that
 	slot      int64 // last cold turn used
