--- a/choice/book.go
+++ b/choice/book.go
@@ -22,11 +22,17 @@
 
 func (f *Front) order(o front.Order) { f.res.Orders = append(f.res.Orders, o) }
 
+// unmet and unheard are the records of a viewer and a node of whom nothing is known.
+var (
+	unmet   = viewer{movedAt: never}
+	unheard = node{share: 1, slot: -1, shareAt: never, cutAt: never, raisedAt: never, shedAt: never,
+		probedAt: never, unlistedAt: never}
+)
+
 // known makes sure that a node has a record.
 func (f *Front) known(at int) *node {
 	for at >= len(f.nodes) {
-		f.nodes = append(f.nodes, node{share: 1, slot: -1, shareAt: never, cutAt: never,
-			raisedAt: never, shedAt: never, probedAt: never})
+		f.nodes = append(f.nodes, unheard)
 	}
 	return &f.nodes[at]
 }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -86,7 +86,9 @@
 func (f *Front) Nodes(now int64, list []front.Node, whole bool) *front.Result {
 	f.begin()
 	for i := range f.nodes {
-		f.nodes[i].listed = f.nodes[i].listed && !whole
+		if whole && f.nodes[i].listed {
+			f.nodes[i].listed, f.nodes[i].unlistedAt = false, now
+		}
 	}
 	for _, l := range list {
 		n := f.known(l.Index)
@@ -94,6 +96,9 @@
 			n.slot, n.link, n.seen, n.strikes, n.skipUntil = -1, account{}, memory{}, 0, 0
 		}
 		n.listed = l.Phase != front.Gone
+		if !n.listed {
+			n.unlistedAt = now
+		}
 		n.phase, n.kind, n.zone, n.cell = l.Phase, l.Kind, l.Zone, l.Cell
 		n.rack, n.started, n.weight = l.Cell%len(f.racks), l.Started, l.Weight
 	}
@@ -113,7 +118,7 @@
 
 func (f *Front) accept(now int64, w front.Want) (front.Handle, *ply) {
 	for w.Viewer >= len(f.viewers) {
-		f.viewers = append(f.viewers, viewer{movedAt: never})
+		f.viewers = append(f.viewers, unmet)
 	}
 	h, p := f.plays.Add()
 	*p = ply{want: w, try: -1, taken: now, sent: never, raised: now - upEvery}
@@ -282,6 +287,33 @@
 	return f.end(now)
 }
 
+// ForgetViewer and ForgetNode give a small number back: they blank its record and tell that the number may
+// name another, or refuse while it can still decide something. Guards against records that grow for ever
+// in a front that runs for months; refusing too long would cost memory only.
+func (f *Front) ForgetViewer(now int64, viewer int) bool {
+	if viewer >= len(f.viewers) {
+		return true
+	}
+	v := &f.viewers[viewer]
+	if v.left > 0 && now-v.leftAt < skipFor || now-v.movedAt < moveEvery {
+		return false
+	}
+	*v = unmet
+	return true
+}
+
+func (f *Front) ForgetNode(now int64, at int) bool {
+	if at >= len(f.nodes) {
+		return true
+	}
+	n := &f.nodes[at] // viewers who left it may pass over its number for skipFor
+	if n.listed || n.probing || len(n.plays) > 0 || now-n.unlistedAt < skipFor {
+		return false
+	}
+	*n = unheard
+	return true
+}
+
 // ---- Placing: the feature-greedy choice ----
 
 // sample adds a payoff to W.
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -600,3 +600,24 @@
 		t.Fatalf("reach %d and %d at a mean of 1.2", known, blind)
 	}
 }
+
+func TestNumbersAreGivenBackOnceTheyDecideNothing(t *testing.T) {
+	f := fleet(2)
+	f.viewers[0] = viewer{left: 1, leftAt: now, movedAt: never}
+	if f.ForgetViewer(now+skipFor-1, 0) || !f.ForgetViewer(now+skipFor, 0) {
+		t.Fatal("a viewer who left a node is to be known for skipFor, no longer")
+	}
+	f.viewers[0].movedAt = now
+	if f.ForgetViewer(now+moveEvery-1, 0) || !f.ForgetViewer(now+moveEvery, 0) || f.viewers[0] != unmet {
+		t.Fatal("a moved viewer is to be known for moveEvery, then blank")
+	}
+	h, _ := playingAt(f, 1, 0, 0, now)
+	f.Nodes(now, []front.Node{{Index: 1, Cell: 1, Phase: front.Gone}}, false)
+	if f.ForgetNode(now+skipFor, 1) {
+		t.Fatal("a node with a play was forgotten")
+	}
+	f.Ended(now, h, 0, front.Served, true, front.Untold)
+	if f.ForgetNode(now+skipFor-1, 1) || f.ForgetNode(now+skipFor, 0) || !f.ForgetNode(now+skipFor, 1) {
+		t.Fatal("only a node gone for skipFor without plays is to be forgotten")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -40,31 +40,32 @@
 
 // node is a playout node. Times that never were are long past.
 type node struct {
-	listed    bool
-	phase     front.Phase
-	kind      int
-	zone      int
-	cell      int
-	rack      int
-	started   int64
-	weight    float64
-	plays     []front.Handle
-	own       float64 // rates of own plays, kB a second
-	link      account
-	seen      memory
-	share     float64 // last share told
-	shareAt   int64
-	shortFrom int64 // since when it is short; 0 is not
-	cutAt     int64 // last step down here
-	raisedAt  int64 // last step up here
-	shedAt    int64 // last play moved away
-	probedAt  int64
-	probing   bool
-	strikes   int // failures or refusals in a row
-	skipUntil int64
-	lostAt    int64 // last seen to break
-	backAt    int64 // first play after that
-	slot      int64 // last cold turn used
+	listed     bool
+	unlistedAt int64 // when it went from the list
+	phase      front.Phase
+	kind       int
+	zone       int
+	cell       int
+	rack       int
+	started    int64
+	weight     float64
+	plays      []front.Handle
+	own        float64 // rates of own plays, kB a second
+	link       account
+	seen       memory
+	share      float64 // last share told
+	shareAt    int64
+	shortFrom  int64 // since when it is short; 0 is not
+	cutAt      int64 // last step down here
+	raisedAt   int64 // last step up here
+	shedAt     int64 // last play moved away
+	probedAt   int64
+	probing    bool
+	strikes    int // failures or refusals in a row
+	skipUntil  int64
+	lostAt     int64 // last seen to break
+	backAt     int64 // first play after that
+	slot       int64 // last cold turn used
 }
 
 // rack is a rack and its uplink.
--- a/front/front.go
+++ b/front/front.go
@@ -124,4 +124,8 @@
 	Probed(now int64, node int, how Ending, load Load) *Result
 	// Wake lets the module do what is due.
 	Wake(now int64) *Result
+	// ForgetViewer and ForgetNode ask to use a number again: true says that nothing of it is
+	// remembered any more. No play in hand may have the viewer, nor an order still out the node.
+	ForgetViewer(now int64, viewer int) bool
+	ForgetNode(now int64, node int) bool
 }
--- /dev/null
+++ b/intake/intake.go
@@ -0,0 +1,191 @@
+// Package intake decides what a front end does with requests for plays before its core can take
+// them: which wait, which are turned away when the queue is full or a client floods, and when to
+// come back. It does no I/O and has no clock: times are int64 tenths of a millisecond, as in
+// package front, and come in as arguments. One goroutine at a time may use a Gate.
+//
+// A play turned away here was never taken by the module, so that no allocation of it can exist:
+// declining it is always safe, for paid products too.
+package intake
+
+import (
+	"container/list"
+	"slices"
+
+	"gullrail/front"
+	"gullrail/internal/pcg"
+)
+
+const (
+	perClient   = 20.0              // requests a client may save up: a player zapping through a menu stays far under it
+	clientRate  = 4.0               // requests a second that it earns: a retry each quarter second is already a fault
+	clientsKept = 8192              // clients remembered at most; the longest silent is forgotten first
+	reserve     = 120 * front.Ms    // of the time limit: kept for the answer's own way and a busy machine
+	leastLeft   = 250 * front.Ms    // with less time than this no set-up can be hoped for
+	spreadLeast = 1 * front.Second  // advice to come back: the least that HTTP's whole seconds can say
+	spreadMost  = 4 * front.Second  // and the most: a viewer at a kiosk waits no longer
+	serviceOver = 16                // a rate of service is the mean over so many plays taken
+	slowest     = 10 * front.Second // time taken for one play when none was ever seen
+)
+
+// Verdict is what becomes of a request at the gate.
+type Verdict uint8
+
+const (
+	Waits   Verdict = iota // it is in the queue
+	Full                   // turned away: the queue holds only what matters as much or more
+	Flood                  // turned away: this client asks too often
+	TooLate                // turned away: too little is left of its time limit
+)
+
+func (v Verdict) String() string {
+	return [...]string{"waits", "front is full", "too many requests", "too late"}[v]
+}
+
+// Ask is a request at the gate.
+type Ask struct {
+	Importance float64
+	Limit      int64 // when the client gives up
+	Client     string
+	Value      any // the caller's own
+}
+
+// Turned is a request that was let go of after it had waited, and why.
+type Turned struct {
+	Ask      *Ask
+	Why      Verdict
+	ComeBack int64
+}
+
+// Gate is the bounded queue before a core. The most important waits shortest; among equals the one
+// with least time left. When full it lets go of the least important, and among those of the one with
+// most time left, which can best come back.
+type Gate struct {
+	most    int
+	rnd     pcg.Source
+	queue   []*Ask // in the order they came; a few hundred at most, so it is walked
+	clients map[string]*list.Element
+	recent  *list.List // of *client, the longest silent last
+	gap     float64    // mean time between plays taken while some wait
+	lastOut int64
+	busy    bool
+}
+
+type client struct {
+	name   string
+	tokens float64
+	at     int64
+}
+
+// New makes a gate that holds most requests.
+func New(most int, seed uint64) *Gate {
+	return &Gate{most: max(1, most), rnd: pcg.New(seed), clients: map[string]*list.Element{}, recent: list.New()}
+}
+
+// Len is the number of requests that wait.
+func (g *Gate) Len() int { return len(g.queue) }
+
+// Limit is the time by which the module is to have answered: a little before the client gives up.
+func Limit(now, limit int64) int64 { return max(now, limit-reserve) }
+
+// Offer brings a request. What it says holds for the request itself; gone is another that had to
+// make room, or nil.
+func (g *Gate) Offer(now int64, a *Ask) (v Verdict, comeBack int64, gone *Turned) {
+	if !g.earned(now, a.Client) {
+		return Flood, g.advice(), nil
+	}
+	if a.Limit-now < leastLeft+reserve {
+		return TooLate, g.advice(), nil
+	}
+	if len(g.queue) >= g.most {
+		worst := 0
+		for i := range g.queue {
+			if worse(g.queue[i], g.queue[worst]) {
+				worst = i
+			}
+		}
+		if worse(a, g.queue[worst]) {
+			return Full, g.advice(), nil
+		}
+		gone = &Turned{g.remove(worst), Full, g.advice()}
+	}
+	g.queue = append(g.queue, a)
+	return Waits, 0, gone
+}
+
+// Next takes the request that matters most out of the queue, or nil. Those whose time has run out
+// while they waited come first, one a call, to be answered as turned away.
+func (g *Gate) Next(now int64) (a *Ask, late *Turned) {
+	if len(g.queue) == 0 {
+		g.busy = false
+		return nil, nil
+	}
+	pick := 0
+	for i, x := range g.queue {
+		if x.Limit-now < leastLeft+reserve {
+			return nil, &Turned{g.remove(i), TooLate, g.advice()}
+		}
+		if worse(g.queue[pick], x) {
+			pick = i
+		}
+	}
+	if g.busy {
+		gap := float64(now - g.lastOut)
+		g.gap += (gap - g.gap) / serviceOver
+	}
+	g.lastOut, g.busy = now, true
+	return g.remove(pick), nil
+}
+
+// Withdraw takes a request out whose client went away; it does nothing if it no longer waits.
+func (g *Gate) Withdraw(a *Ask) bool {
+	i := slices.Index(g.queue, a)
+	if i >= 0 {
+		g.remove(i)
+	}
+	return i >= 0
+}
+
+// advice is when a client turned away should come back: drawn evenly over the time in which the queue
+// is worked off, so that those turned away together do not return together.
+func (g *Gate) advice() int64 {
+	drain := min(float64(spreadMost), float64(spreadLeast)+min(g.gap, float64(slowest))*float64(len(g.queue)))
+	return spreadLeast + int64(g.rnd.Float()*(max(drain, 2*float64(spreadLeast))-float64(spreadLeast)))
+}
+
+// earned counts a client's request against what it has earned. Guards against one client that
+// floods; many viewers behind one name would share its allowance, so the name must be a viewer's.
+func (g *Gate) earned(now int64, name string) bool {
+	e, ok := g.clients[name]
+	if !ok {
+		if g.recent.Len() >= clientsKept {
+			old := g.recent.Back()
+			delete(g.clients, old.Value.(*client).name)
+			g.recent.Remove(old)
+		}
+		e = g.recent.PushFront(&client{name, perClient, now})
+		g.clients[name] = e
+	}
+	g.recent.MoveToFront(e)
+	c := e.Value.(*client)
+	c.tokens = min(perClient, c.tokens+clientRate*float64(now-c.at)/float64(front.Second))
+	c.at = now
+	if c.tokens < 1 {
+		return false
+	}
+	c.tokens--
+	return true
+}
+
+// worse tells that a goes before b when room must be made.
+func worse(a, b *Ask) bool {
+	if a.Importance != b.Importance {
+		return a.Importance < b.Importance
+	}
+	return a.Limit > b.Limit
+}
+
+func (g *Gate) remove(i int) *Ask {
+	a := g.queue[i]
+	g.queue = slices.Delete(g.queue, i, i+1)
+	return a
+}
--- /dev/null
+++ b/pulse/pulse.go
@@ -0,0 +1,123 @@
+// Package pulse decides what a front end believes of its streams from playout nodes: when silence
+// means that a stream is broken, when to dial it again, when the plays there must have ended, and
+// when a front that just started knows enough of its earlier life to take plays. No I/O and no
+// clock: times are int64 tenths of a millisecond, as in package front. One goroutine at a time.
+//
+// What it rests on: a node ends the plays of a front whose stream it has missed for Lease, and
+// reports all plays of that front when the stream is back. So a front may count a play as ended
+// when the node says so, when the node's process is seen to be gone, or Lease and a margin after the
+// stream was last alive; never because of silence alone.
+package pulse
+
+import (
+	"gullrail/front"
+	"gullrail/internal/pcg"
+)
+
+const (
+	Beat       = 1 * front.Second // a node says something at least this often
+	Lease      = 6 * front.Second // a node keeps the plays of a front that it doesn't hear from so long
+	silentFor  = 3 * Beat         // two lost beats are chance, three are a broken stream
+	margin     = 2 * front.Second // over the lease: a beat on its way and a busy machine
+	retryLeast = 100 * front.Ms   // pause before the first dial after a break
+	retryMost  = 2 * front.Second // and at most: well under the lease, so that a short cut ends no play
+	startLeast = 100 * front.Ms   // a fresh front hears the list at least so long before it takes plays
+	startMost  = Lease + margin   // then what it held before has ended wherever it could not ask
+)
+
+// Stream is what is known of the stream from one node. The zero Stream was never alive.
+type Stream struct {
+	alive    bool
+	met      bool  // it has told its plays, or its process was seen gone
+	heardAt  int64 // last sign of life
+	brokeAt  int64
+	failures int
+	dialAt   int64
+	lost     bool // the plays there were given up since it broke
+}
+
+// Watch follows all streams of one front.
+type Watch struct {
+	rnd     pcg.Source
+	began   int64
+	ready   bool
+	streams []Stream
+}
+
+// New makes a watch at the front's start.
+func New(now int64, seed uint64) *Watch { return &Watch{rnd: pcg.New(seed), began: now} }
+
+func (w *Watch) of(node int) *Stream {
+	for node >= len(w.streams) {
+		w.streams = append(w.streams, Stream{})
+	}
+	return &w.streams[node]
+}
+
+// Forget blanks a node's record, so that its number may name another.
+func (w *Watch) Forget(node int) { *w.of(node) = Stream{} }
+
+// Hello says that a stream is alive and has told which plays it runs.
+func (w *Watch) Hello(now int64, node int) {
+	*w.of(node) = Stream{alive: true, met: true, heardAt: now}
+}
+
+// Heard says that something came on a stream.
+func (w *Watch) Heard(now int64, node int) { w.of(node).heardAt = now }
+
+// Silent tells that a stream has said nothing for so long that it is to be closed and dialled anew.
+func (w *Watch) Silent(now int64, node int) bool {
+	s := w.of(node)
+	return s.alive && now-s.heardAt > silentFor
+}
+
+// Broke says that a stream ended or a dial failed. It returns when to dial next, and whether the
+// plays there have surely ended: gone says that the node's machine refused the connection, so that no
+// process is there to run them. The pause doubles, drawn between half and all of it, so that the
+// fronts of a node that comes back don't all dial at once.
+func (w *Watch) Broke(now int64, node int, gone bool) (dialAt int64, ended bool) {
+	s := w.of(node)
+	if s.alive || s.failures == 0 && s.brokeAt == 0 {
+		s.brokeAt = max(1, s.heardAt)
+		if s.heardAt == 0 {
+			s.brokeAt = now
+		}
+	}
+	s.alive = false
+	pause := min(retryMost, retryLeast<<min(s.failures, 8))
+	s.failures++
+	s.dialAt = now + pause/2 + int64(w.rnd.Float()*float64(pause/2))
+	if gone {
+		s.met = true
+		ended, s.lost = !s.lost, true
+	}
+	return s.dialAt, ended
+}
+
+// Expired tells, once, that the plays of a node whose stream stays broken must have ended by now.
+func (w *Watch) Expired(now int64, node int) bool {
+	s := w.of(node)
+	if s.alive || s.lost || s.brokeAt == 0 || now-s.brokeAt < Lease+margin {
+		return false
+	}
+	s.lost, s.met = true, true
+	return true
+}
+
+// Ready tells whether the front may take plays: it knows what it held before, as every listed node
+// was met or seen gone, or what it held has ended. Once ready it stays so. Guards against seats
+// counted too low and plays adopted too late after a restart; costs a start of Lease where a node
+// is silent.
+func (w *Watch) Ready(now int64, listed []int) bool {
+	switch age := now - w.began; {
+	case w.ready:
+	case age >= startMost:
+		w.ready = true
+	case age >= startLeast && len(listed) > 0:
+		w.ready = true
+		for _, n := range listed {
+			w.ready = w.ready && w.of(n).met
+		}
+	}
+	return w.ready
+}
--- /dev/null
+++ b/pulse/pulse_test.go
@@ -0,0 +1,80 @@
+package pulse
+
+import (
+	"testing"
+
+	"gullrail/front"
+)
+
+const now = 1_000_000
+
+func TestSilenceBreaksAStreamAndOnlyTheLeaseEndsItsPlays(t *testing.T) {
+	w := New(now, 1)
+	w.Hello(now, 3)
+	if w.Silent(now+silentFor, 3) || !w.Silent(now+silentFor+1, 3) {
+		t.Fatal("silence is three beats")
+	}
+	at, ended := w.Broke(now+silentFor+1, 3, false)
+	if ended || at <= now+silentFor || at > now+silentFor+1+retryLeast {
+		t.Fatalf("dial at %d, ended %v", at, ended)
+	}
+	if w.Expired(now+Lease+margin-1, 3) {
+		t.Fatal("plays given up while the node may still run them")
+	}
+	if !w.Expired(now+Lease+margin, 3) || w.Expired(now+Lease+margin+1, 3) {
+		t.Fatal("given up once, when the lease has passed")
+	}
+}
+
+func TestRefusedConnectionEndsPlaysOnce(t *testing.T) {
+	w := New(now, 1)
+	w.Hello(now, 0)
+	if _, ended := w.Broke(now, 0, true); !ended {
+		t.Fatal("nobody is there to run them")
+	}
+	if _, ended := w.Broke(now+1, 0, true); ended || w.Expired(now+Lease+margin, 0) {
+		t.Fatal("told twice")
+	}
+	w.Hello(now+front.Second, 0)
+	if _, ended := w.Broke(now+2*front.Second, 0, true); !ended {
+		t.Fatal("a new life ends too")
+	}
+}
+
+func TestPausesDoubleAndDiffer(t *testing.T) {
+	w := New(now, 1)
+	seen := map[int64]bool{}
+	for node := range 20 {
+		at, _ := w.Broke(now, node, false)
+		seen[at] = true
+	}
+	if len(seen) < 15 {
+		t.Fatalf("%d different pauses of 20", len(seen))
+	}
+	last := int64(0)
+	for range 12 {
+		last, _ = w.Broke(now, 0, false)
+	}
+	if last < now+retryMost/2 || last > now+retryMost {
+		t.Fatalf("the longest pause is %d", last-now)
+	}
+}
+
+func TestReadyOnceAllAreMetOrTheLeaseHasPassed(t *testing.T) {
+	w := New(now, 1)
+	if w.Ready(now+startMost-1, nil) {
+		t.Fatal("ready without a list")
+	}
+	w.Hello(now, 0)
+	w.Broke(now, 1, false)
+	if w.Ready(now+front.Second, []int{0, 1}) {
+		t.Fatal("node 1 may hold plays of an earlier life")
+	}
+	w.Broke(now, 1, true)
+	if !w.Ready(now+front.Second, []int{0, 1}) || !w.Ready(now+front.Second, []int{0, 1, 2}) {
+		t.Fatal("all met, and ready stays")
+	}
+	if w = New(now, 1); !w.Ready(now+startMost, []int{5}) {
+		t.Fatal("the lease has passed")
+	}
+}
