--- /dev/null
+++ b/cmd/gullrail/main.go
@@ -0,0 +1,243 @@
+// Command gullrail runs a session front, checks its settings, and rehearses days on one machine.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/rs/zerolog"
+
+	"gullrail/conf"
+	"gullrail/lab"
+	"gullrail/lab/audit"
+	"gullrail/lab/tape"
+	"gullrail/serve"
+)
+
+// Exit codes beside 0.
+const (
+	exitFailed = 1 // it ran and failed, or a rule broke
+	exitWrong  = 2 // settings or arguments are wrong
+)
+
+type program struct {
+	Serve    serveVerb    `cmd:"" help:"Run a front end until SIGTERM or SIGINT; a second one ends it at once."`
+	Check    checkVerb    `cmd:"" help:"Check settings, of a front end or of a day, and list all mistakes."`
+	Rehearse rehearseVerb `cmd:"" help:"Play a day: front ends as processes, stand-in nodes and viewers, with the six rules audited."`
+	Audit    auditVerb    `cmd:"" help:"Check a tape of a rehearsal against the six rules again."`
+}
+
+type serveVerb struct {
+	File string `arg:"" help:"Settings of the front end (JSON with comments)."`
+}
+
+func (v *serveVerb) Run(ctx context.Context) error {
+	set, err := conf.ReadFront(v.File)
+	if err != nil {
+		return wrong{err}
+	}
+	level, err := zerolog.ParseLevel(set.Log)
+	if err != nil {
+		return wrong{err}
+	}
+	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("front", set.Name).Logger()
+	f, err := serve.Listen(set, time.Now().UnixNano(), log)
+	if err != nil {
+		return err
+	}
+	return f.Run(ctx)
+}
+
+type checkVerb struct {
+	File string `arg:"" help:"Settings of a front end, or a day."`
+}
+
+func (v *checkVerb) Run() error {
+	_, root, err := conf.Open(v.File)
+	if err == nil {
+		if root.At("day").Given() {
+			_, err = lab.ReadDay(v.File)
+		} else {
+			_, err = conf.ReadFront(v.File)
+		}
+	}
+	if err != nil {
+		return wrong{err}
+	}
+	fmt.Println(v.File + ": in order")
+	return nil
+}
+
+type rehearseVerb struct {
+	File string `arg:"" help:"The day (JSON with comments)."`
+	JSON bool   `help:"Print the report as JSON."`
+	Seed uint64 `help:"Play it with this seed in place of the day's."`
+	Keep string `help:"Keep the fronts' settings and logs and the tape in this folder." type:"path"`
+}
+
+func (v *rehearseVerb) Run(ctx context.Context) error {
+	day, err := lab.ReadDay(v.File)
+	if err != nil {
+		return wrong{err}
+	}
+	if v.Seed != 0 {
+		day.Seed = v.Seed
+	}
+	folder := v.Keep
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "gullrail-rehearsal-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(folder)
+	} else if err := os.MkdirAll(folder, 0o755); err != nil {
+		return err
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	say := io.Writer(os.Stdout)
+	if v.JSON {
+		say = os.Stderr
+	}
+	fmt.Fprintf(say, "%s, seed %d: %d fronts, %d nodes, %v plays a second for %v s (loopback)\n", filepath.Base(v.File), day.Seed,
+		day.Service.Fronts, day.Nodes, day.Rate, day.Seconds)
+	run := &lab.Rehearsal{Day: day, Program: self, Folder: folder, Say: func(format string, args ...any) {
+		fmt.Fprintf(say, "  "+format+"\n", args...)
+	}}
+	out, err := run.Run(ctx)
+	if err != nil {
+		return err
+	}
+	if v.Keep != "" {
+		if err := writeTape(filepath.Join(folder, "tape.jsonl"), out.Lines); err != nil {
+			return err
+		}
+	}
+	return report(out.Report, out.Short, out.Took, v.JSON)
+}
+
+func writeTape(file string, lines []tape.Line) error {
+	f, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := tape.Write(f, lines); err != nil {
+		return err
+	}
+	return f.Close()
+}
+
+type auditVerb struct {
+	Day  string `arg:"" help:"The day that was played."`
+	Tape string `arg:"" help:"Its tape."`
+	JSON bool   `help:"Print the report as JSON."`
+}
+
+func (v *auditVerb) Run() error {
+	day, err := lab.ReadDay(v.Day)
+	if err != nil {
+		return wrong{err}
+	}
+	f, err := os.Open(v.Tape)
+	if err != nil {
+		return wrong{err}
+	}
+	defer f.Close()
+	lines, err := tape.Read(f)
+	if err != nil {
+		return wrong{fmt.Errorf("%s: %w", v.Tape, err)}
+	}
+	return report(audit.Check(&day.Service, lines), -1, 0, v.JSON)
+}
+
+// report prints what a rehearsal came to; a broken rule is an error.
+func report(r *audit.Report, short float64, took time.Duration, asJSON bool) error {
+	p50, p99 := percentile(r.FirstMs, 0.5), percentile(r.FirstMs, 0.99)
+	if asJSON {
+		enc := json.NewEncoder(os.Stdout)
+		enc.SetIndent("", "  ")
+		if err := enc.Encode(struct {
+			*audit.Report
+			P50   int64   `json:"first_frame_p50_ms"`
+			P99   int64   `json:"first_frame_p99_ms"`
+			Short float64 `json:"segments_short"`
+			Kept  bool    `json:"rules_kept"`
+		}{r, p50, p99, short, r.Kept()}); err != nil {
+			return err
+		}
+	} else {
+		row := func(name string, v any) { fmt.Printf("  %-34s %v\n", name, v) }
+		row("plays asked", r.Asked)
+		row("requests", r.Requests)
+		row("plays", r.Plays)
+		row("declined", r.Declined)
+		row("failed", r.Failed)
+		row("denied", r.Denied)
+		row("cut by a front's end", r.Cut)
+		row("answers to a request, most", r.MostAnswers)
+		row("allocations doubled", r.Doubled)
+		row("further allocations", r.Retried)
+		row("first frame p50, p99", fmt.Sprintf("%d ms, %d ms", p50, p99))
+		row("segments by rung", r.Rungs)
+		if short >= 0 {
+			row("segments delivered short", fmt.Sprintf("%.1f%%", 100*short))
+		}
+		row("service", fmt.Sprintf("%.3f", r.Service))
+		for i, x := range r.Rules {
+			verdict := "kept"
+			if n := len(x.Breaks); n > 0 {
+				verdict = fmt.Sprintf("BROKEN %d times", n)
+			}
+			row(fmt.Sprintf("rule %d, %s", i+1, x.Name), verdict)
+			for _, b := range x.Breaks[:min(5, len(x.Breaks))] {
+				fmt.Println("      " + b)
+			}
+		}
+		if took > 0 {
+			row("took", took.Round(100*time.Millisecond))
+		}
+	}
+	if !r.Kept() {
+		return fmt.Errorf("a rule is broken")
+	}
+	return nil
+}
+
+func percentile(sorted []int64, p float64) int64 {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(len(sorted)-1, int(p*float64(len(sorted))))]
+}
+
+// wrong is an error of settings or arguments.
+type wrong struct{ error }
+
+func main() {
+	var p program
+	k := kong.Parse(&p, kong.Name("gullrail"), kong.UsageOnError(),
+		kong.Description("A session front: it places video sessions on playout nodes and shapes them."))
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	go func() { <-ctx.Done(); stop() }() // a second signal then ends the program at once
+	k.BindTo(ctx, (*context.Context)(nil))
+	if err := k.Run(); err != nil {
+		for _, line := range strings.Split(err.Error(), "\n") {
+			fmt.Fprintln(os.Stderr, "gullrail: "+line)
+		}
+		if _, ok := err.(wrong); ok {
+			os.Exit(exitWrong)
+		}
+		os.Exit(exitFailed)
+	}
+}
--- /dev/null
+++ b/conf/doc.go
@@ -0,0 +1,272 @@
+// Package conf reads settings: JSON with comments and trailing commas, checked whole, so that one run
+// tells every mistake with its file, line and field. Defaults are said once, where a field is read.
+package conf
+
+import (
+	"fmt"
+	"math"
+	"os"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/tailscale/hujson"
+)
+
+// Mistake is one thing wrong in a file.
+type Mistake struct {
+	File  string
+	Line  int
+	Field string
+	What  string
+}
+
+func (m Mistake) String() string {
+	if m.Field == "" {
+		return fmt.Sprintf("%s:%d: %s", m.File, m.Line, m.What)
+	}
+	return fmt.Sprintf("%s:%d: %s: %s", m.File, m.Line, m.Field, m.What)
+}
+
+// Mistakes is an error that lists them all, a line each.
+type Mistakes []Mistake
+
+func (ms Mistakes) Error() string {
+	lines := make([]string, len(ms))
+	for i, m := range ms {
+		lines[i] = m.String()
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Doc is a file being read. It collects mistakes; Err returns them.
+type Doc struct {
+	file     string
+	text     []byte
+	mistakes Mistakes
+}
+
+// Value is one value of a file: an object, a list, a text, a number or a bool, or nothing at all.
+type Value struct {
+	doc   *Doc
+	field string
+	at    int
+	end   int
+	val   hujson.ValueTrimmed
+	known map[string]bool
+}
+
+// Open reads a file.
+func Open(file string) (*Doc, Value, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return nil, Value{}, fmt.Errorf("settings: %w", err)
+	}
+	return Parse(file, text)
+}
+
+// Parse reads text under a file's name. What is not JSON with comments is a single Mistake.
+func Parse(file string, text []byte) (*Doc, Value, error) {
+	d := &Doc{file: file, text: text}
+	root, err := hujson.Parse(text)
+	if err != nil {
+		line, what := 1, strings.TrimPrefix(err.Error(), "hujson: ")
+		if i := strings.Index(what, "line "); i >= 0 { // hujson says where: "line 3, column 4: ..."
+			if n, rest, ok := strings.Cut(what[i+5:], ","); ok {
+				if k, err := strconv.Atoi(n); err == nil {
+					line = k
+					_, what, _ = strings.Cut(rest, ": ")
+				}
+			}
+		}
+		return nil, Value{}, Mistakes{{file, line, "", "not JSON with comments: " + what}}
+	}
+	return d, Value{doc: d, at: root.StartOffset, end: root.EndOffset, val: root.Value, known: map[string]bool{}}, nil
+}
+
+// Err returns all mistakes found so far, in the order of their lines, or nil.
+func (d *Doc) Err() error {
+	if len(d.mistakes) == 0 {
+		return nil
+	}
+	sort.SliceStable(d.mistakes, func(i, j int) bool { return d.mistakes[i].Line < d.mistakes[j].Line })
+	return d.mistakes
+}
+
+// Wrong notes a mistake at a value.
+func (v Value) Wrong(format string, args ...any) {
+	line := 1 + strings.Count(string(v.doc.text[:min(v.at, len(v.doc.text))]), "\n")
+	v.doc.mistakes = append(v.doc.mistakes, Mistake{v.doc.file, line, v.field, fmt.Sprintf(format, args...)})
+}
+
+// Given tells that the value is there.
+func (v Value) Given() bool { return v.val != nil }
+
+// Raw is the value as it stands in the file.
+func (v Value) Raw() []byte { return v.doc.text[v.at:v.end] }
+
+// At is a field of an object, or a Value that is not given. Field names are marked as known.
+func (v Value) At(name string) Value {
+	field := name
+	if v.field != "" {
+		field = v.field + "." + name
+	}
+	out := Value{doc: v.doc, field: field, at: v.at, known: map[string]bool{}}
+	if v.known != nil {
+		v.known[name] = true
+	}
+	obj, ok := v.val.(*hujson.Object)
+	if !ok {
+		return out
+	}
+	for i := range obj.Members {
+		m := &obj.Members[i]
+		if lit, ok := m.Name.Value.(hujson.Literal); ok && lit.String() == name {
+			out.at, out.end, out.val = m.Value.StartOffset, m.Value.EndOffset, m.Value.Value
+		}
+	}
+	return out
+}
+
+// Object checks that the value is an object, if it is given or required.
+func (v Value) Object(required bool) Value {
+	if _, ok := v.val.(*hujson.Object); !ok && (required || v.Given()) {
+		v.Wrong("an object is needed here")
+	}
+	return v
+}
+
+// Done notes each field of the object that nobody asked for, and each given twice.
+func (v Value) Done() {
+	obj, ok := v.val.(*hujson.Object)
+	if !ok {
+		return
+	}
+	seen := map[string]bool{}
+	for i := range obj.Members {
+		lit, _ := obj.Members[i].Name.Value.(hujson.Literal)
+		name := lit.String()
+		at := v
+		at.at = obj.Members[i].Name.StartOffset
+		at.field = strings.TrimPrefix(v.field+"."+name, ".")
+		if !v.known[name] {
+			at.Wrong("no such field")
+		} else if seen[name] {
+			at.Wrong("given twice")
+		}
+		seen[name] = true
+	}
+}
+
+// List returns the values of a list; a required one must hold something.
+func (v Value) List(required bool) []Value {
+	arr, ok := v.val.(*hujson.Array)
+	if !ok || required && len(arr.Elements) == 0 {
+		if required || v.Given() && !ok {
+			v.Wrong("a list is needed here")
+		}
+		return nil
+	}
+	out := make([]Value, len(arr.Elements))
+	for i := range arr.Elements {
+		e := &arr.Elements[i]
+		out[i] = Value{doc: v.doc, field: fmt.Sprintf("%s[%d]", v.field, i), at: e.StartOffset, end: e.EndOffset, val: e.Value, known: map[string]bool{}}
+	}
+	return out
+}
+
+func (v Value) literal(kind hujson.Kind) (hujson.Literal, bool) {
+	lit, ok := v.val.(hujson.Literal)
+	return lit, ok && lit.Kind() == kind
+}
+
+// Text reads a text that is not empty.
+func (v Value) Text() string {
+	lit, ok := v.literal('"')
+	if !ok || lit.String() == "" {
+		v.Wrong("a text is needed here")
+		return ""
+	}
+	return lit.String()
+}
+
+// TextOr is Text, or a default where nothing is given.
+func (v Value) TextOr(or string) string {
+	if !v.Given() {
+		return or
+	}
+	return v.Text()
+}
+
+// Number reads a number from least to most.
+func (v Value) Number(least, most float64) float64 {
+	lit, ok := v.literal('0')
+	x := lit.Float()
+	if !ok || math.IsNaN(x) || x < least || x > most {
+		v.Wrong("a number from %v to %v is needed here", least, most)
+		return least
+	}
+	return x
+}
+
+// NumberOr is Number, or a default where nothing is given.
+func (v Value) NumberOr(or, least, most float64) float64 {
+	if !v.Given() {
+		return or
+	}
+	return v.Number(least, most)
+}
+
+// Whole reads a whole number from least to most.
+func (v Value) Whole(least, most int) int {
+	x := v.Number(float64(least), float64(most))
+	if x != math.Trunc(x) {
+		v.Wrong("a whole number is needed here")
+	}
+	return int(x)
+}
+
+// WholeOr is Whole, or a default where nothing is given.
+func (v Value) WholeOr(or, least, most int) int {
+	if !v.Given() {
+		return or
+	}
+	return v.Whole(least, most)
+}
+
+// BoolOr reads true or false, or a default where nothing is given.
+func (v Value) BoolOr(or bool) bool {
+	if !v.Given() {
+		return or
+	}
+	if _, ok := v.literal('t'); ok {
+		return true
+	}
+	if _, ok := v.literal('f'); !ok {
+		v.Wrong("true or false is needed here")
+	}
+	return false
+}
+
+// Choice reads one of some words, the first where nothing is given.
+func (v Value) Choice(words ...string) string {
+	got := v.TextOr(words[0])
+	for _, w := range words {
+		if got == w {
+			return got
+		}
+	}
+	if got != "" {
+		v.Wrong("%.40q is none of %s", got, strings.Join(words, ", "))
+	}
+	return words[0]
+}
+
+// Numbers reads a list of numbers from least to most.
+func (v Value) Numbers(least, most float64) []float64 {
+	var out []float64
+	for _, e := range v.List(true) {
+		out = append(out, e.Number(least, most))
+	}
+	return out
+}
--- /dev/null
+++ b/conf/service.go
@@ -0,0 +1,343 @@
+package conf
+
+import (
+	"crypto/ed25519"
+	"encoding/base64"
+	"net"
+	"net/url"
+)
+
+// Product is a kind of play.
+type Product struct {
+	Name       string
+	Importance float64
+	TargetMs   float64 // first-frame target
+	LimitMs    float64 // time limit
+	Rate       float64 // its rates over those of the ladder
+	Paid       bool    // set up at most once
+	Floor      int     // lowest rung
+	Top        int     // highest rung
+	Seats      int     // plays of one title that a front holds at most; 0 is no cap
+}
+
+// Title is a title and the cells that hold it.
+type Title struct {
+	Name   string
+	Home   int
+	Copies int
+	Length float64 // seconds; 0 is not told
+}
+
+// Service is what all fronts of a deployment share: its plays, its nodes, its rules.
+type Service struct {
+	RatesKB   []float64 // the ladder, kB a second
+	Worth     []float64 // what each rung earns
+	SegmentMs float64   // length of a media segment
+	SwitchS   float64   // a change of rung costs so many seconds of importance
+	Products  []Product
+	Titles    []Title
+	Cells     int
+	Racks     int
+	Kinds     []Kind
+	Zones     []string
+	WeightKB  float64 // link of a node of weight 1, kB a second
+	UplinkKB  float64 // mean uplink of a rack; 0 is not told
+	Fronts    int
+	Reports   string // how nodes tell their load: probe, answers or none
+	Uplinks   bool   // reports tell the uplink too
+	NoteLagMs float64
+	Tries     int // allocations of one play at most
+
+	ColdShare, ColdLastsMs, FallMultiple, FallOverMs, DrainGraceMs float64
+
+	BudgetFree, BudgetShare, BudgetOverMs, ComeBackMostMs float64
+
+	titleAt map[string]int
+}
+
+// Kind is a kind of machine.
+type Kind struct {
+	Name    string
+	Streams int // plays that it runs at most
+}
+
+const (
+	mostNumber = 1e12
+	mostMs     = 3.6e6 // no time in a service is longer than an hour
+)
+
+// ReadService reads and checks a service.
+func ReadService(v Value) Service {
+	v.Object(true)
+	s := Service{RatesKB: v.At("rates_kb").Numbers(0.001, mostNumber), Worth: v.At("worth").Numbers(0, 1e6),
+		SegmentMs: v.At("segment_ms").NumberOr(2000, 100, 60000),
+		SwitchS:   v.At("switch_s").NumberOr(0, 0, 3600), Cells: v.At("cells").Whole(1, 1<<20),
+		Racks: v.At("racks").Whole(1, 1<<20), WeightKB: v.At("link_kb").Number(0.001, mostNumber),
+		UplinkKB: v.At("uplink_kb").NumberOr(0, 0, mostNumber), Fronts: v.At("fronts").Whole(1, 1<<20),
+		Tries: v.At("tries").WholeOr(4, 1, 100), ComeBackMostMs: v.At("come_back_ms").NumberOr(1000, 0, mostMs)}
+	if len(s.Worth) != len(s.RatesKB) {
+		v.At("worth").Wrong("%d rungs have a worth, %d a rate", len(s.Worth), len(s.RatesKB))
+	}
+	for i := 1; i < len(s.RatesKB); i++ {
+		if s.RatesKB[i] <= s.RatesKB[i-1] {
+			v.At("rates_kb").Wrong("rung %d is no higher than the one below it", i)
+		}
+	}
+	names := map[string]bool{}
+	for _, e := range v.At("kinds").List(true) {
+		e.Object(true)
+		s.Kinds = append(s.Kinds, Kind{unique(names, e.At("name")), e.At("streams").Whole(1, 1<<20)})
+		e.Done()
+	}
+	names = map[string]bool{}
+	for _, e := range v.At("zones").List(true) {
+		s.Zones = append(s.Zones, unique(names, e))
+	}
+	names = map[string]bool{}
+	for _, e := range v.At("products").List(true) {
+		s.Products = append(s.Products, readProduct(e, names, len(s.RatesKB)))
+	}
+	names = map[string]bool{}
+	for _, e := range v.At("titles").List(true) {
+		e.Object(true)
+		s.Titles = append(s.Titles, Title{unique(names, e.At("name")), e.At("home").Whole(0, max(0, s.Cells-1)),
+			e.At("copies").Whole(1, max(1, s.Cells)), e.At("seconds").NumberOr(0, 0, 86400)})
+		e.Done()
+	}
+	s.titleAt = make(map[string]int, len(s.Titles))
+	for i, t := range s.Titles {
+		s.titleAt[t.Name] = i
+	}
+	r := v.At("reports").Object(true)
+	s.Reports = r.At("how").Choice("probe", "answers", "none")
+	s.Uplinks = r.At("uplinks").BoolOr(false)
+	s.NoteLagMs = r.At("note_lag_ms").NumberOr(1000, 0, mostMs)
+	r.Done()
+	r = v.At("rules").Object(true)
+	s.ColdShare, s.ColdLastsMs = r.At("cold_share").Number(0.001, 1), r.At("cold_lasts_ms").Number(1, mostMs)
+	s.FallMultiple, s.FallOverMs = r.At("fall_multiple").Number(0.1, 1000), r.At("fall_over_ms").Number(1, mostMs)
+	s.DrainGraceMs = r.At("drain_grace_ms").Number(0, mostMs)
+	if b := r.At("budget"); b.Given() {
+		b.Object(true)
+		s.BudgetFree, s.BudgetShare = b.At("free").Number(0, 1e6), b.At("share").Number(0, 1000)
+		s.BudgetOverMs = b.At("over_ms").Number(1, mostMs)
+		b.Done()
+	}
+	r.Done()
+	v.Done()
+	return s
+}
+
+func readProduct(e Value, names map[string]bool, rungs int) Product {
+	e.Object(true)
+	p := Product{Name: unique(names, e.At("name")), Importance: e.At("importance").Number(0.001, 1e6),
+		TargetMs: e.At("target_ms").Number(1, mostMs), LimitMs: e.At("limit_ms").Number(1, mostMs),
+		Rate: e.At("rate").NumberOr(1, 0.001, 1000), Paid: e.At("paid").BoolOr(false),
+		Floor: e.At("floor").WholeOr(0, 0, max(0, rungs-1)), Top: e.At("top").WholeOr(max(0, rungs-1), 0, max(0, rungs-1)),
+		Seats: e.At("seats").WholeOr(0, 0, 1<<20)}
+	if p.Top < p.Floor {
+		e.At("top").Wrong("lies under the floor")
+	}
+	if p.LimitMs < p.TargetMs {
+		e.At("limit_ms").Wrong("is shorter than the first-frame target")
+	}
+	e.Done()
+	return p
+}
+
+func unique(seen map[string]bool, v Value) string {
+	s := v.Text()
+	if s != "" && seen[s] {
+		v.Wrong("%.40q stands twice", s)
+	}
+	seen[s] = true
+	return s
+}
+
+// Terms is the map of settings that the module reads; docs/design.md names them. Times become tenths
+// of a millisecond.
+func (s *Service) Terms(front int, zone string) map[string][]float64 {
+	one := func(x float64) []float64 { return []float64{x} }
+	yes := func(b bool) []float64 {
+		if b {
+			return one(1)
+		}
+		return one(0)
+	}
+	out := map[string][]float64{"fronts": one(float64(s.Fronts)), "front": one(float64(front)),
+		"cells": one(float64(s.Cells)), "racks": one(float64(s.Racks)), "rung.rate": s.RatesKB, "rung.worth": s.Worth,
+		"weight.rate": one(s.WeightKB), "uplink.rate": one(s.UplinkKB), "reports.uplink": yes(s.Uplinks && s.Reports != "none"),
+		"note.lag": one(s.NoteLagMs * 10), "switch.seconds": one(s.SwitchS), "tries": one(float64(s.Tries)),
+		"probing": yes(s.Reports == "probe"), "recall": one(1), "comeback": yes(s.ComeBackMostMs > 0),
+		"comeback.most": one(s.ComeBackMostMs * 10), "cold.share": one(s.ColdShare), "cold.lasts": one(s.ColdLastsMs * 10),
+		"fall.multiple": one(s.FallMultiple), "fall.over": one(s.FallOverMs * 10)}
+	if s.BudgetOverMs > 0 {
+		out["budget.free"], out["budget.share"] = one(s.BudgetFree), one(s.BudgetShare)
+		out["budget.over"] = one(s.BudgetOverMs * 10)
+	}
+	for _, k := range s.Kinds {
+		out["kind.streams"] = append(out["kind.streams"], float64(k.Streams))
+	}
+	for i, z := range s.Zones {
+		if z == zone {
+			out["zone"] = one(float64(i))
+		}
+	}
+	for _, p := range s.Products {
+		add := func(name string, x float64) { out["product."+name] = append(out["product."+name], x) }
+		add("rate", p.Rate)
+		add("paid", yes(p.Paid)[0])
+		add("floor", float64(p.Floor))
+		add("top", float64(p.Top))
+		add("seats", float64(p.Seats))
+		add("importance", p.Importance)
+		add("target", p.TargetMs*10)
+	}
+	return out
+}
+
+// Product is the name of a product's number; ProductNumber and Title look a name up.
+func (s *Service) Product(number int) string { return s.Products[number].Name }
+
+// ProductNumber is the number of a product.
+func (s *Service) ProductNumber(name string) (int, bool) {
+	for i := range s.Products {
+		if s.Products[i].Name == name {
+			return i, true
+		}
+	}
+	return 0, false
+}
+
+// Title tells which cells hold a title.
+func (s *Service) Title(name string) (home, copies int, ok bool) {
+	t, ok := s.Lookup(name)
+	return t.Home, t.Copies, ok
+}
+
+// Lookup finds a title by its name.
+func (s *Service) Lookup(name string) (Title, bool) {
+	i, ok := s.titleAt[name]
+	if !ok {
+		return Title{}, false
+	}
+	return s.Titles[i], true
+}
+
+// Front is the settings of one front end.
+type Front struct {
+	Name    string
+	Number  int
+	Zone    string
+	Listen  string // host:port
+	ListURL string // of the list service
+	Seed    uint64
+	Log     string // level
+	Waiting int    // requests that wait at most
+	Sockets int    // connections of players at most
+	TokenMs float64
+	Keys    []Key
+	Service Service
+}
+
+// Key is a key of session tokens. Only the signing one needs its seed.
+type Key struct {
+	ID     string
+	Seed   []byte // 32 bytes of an Ed25519 private key, or nil
+	Public ed25519.PublicKey
+	Signs  bool
+}
+
+// ReadFront reads and checks a front's settings.
+func ReadFront(file string) (Front, error) {
+	doc, v, err := Open(file)
+	if err != nil {
+		return Front{}, err
+	}
+	return frontOf(doc, v)
+}
+
+// ParseFront reads a front's settings from text.
+func ParseFront(file string, text []byte) (Front, error) {
+	doc, v, err := Parse(file, text)
+	if err != nil {
+		return Front{}, err
+	}
+	return frontOf(doc, v)
+}
+
+func frontOf(doc *Doc, v Value) (Front, error) {
+	v.Object(true)
+	f := Front{Service: ReadService(v.At("service"))}
+	e := v.At("front").Object(true)
+	f.Name, f.Number = e.At("name").Text(), e.At("number").Whole(0, 1<<20)
+	if f.Number >= f.Service.Fronts {
+		e.At("number").Wrong("fronts are numbered from 0 and service.fronts is %d", f.Service.Fronts)
+	}
+	f.Zone = e.At("zone").Choice(append([]string{}, orOne(f.Service.Zones)...)...)
+	f.Listen = Address(e.At("listen"))
+	f.Seed = uint64(e.At("seed").WholeOr(1, 0, 1<<53))
+	f.Log = e.At("log").Choice("info", "debug", "warn", "error")
+	f.Waiting, f.Sockets = e.At("waiting").WholeOr(256, 1, 1<<20), e.At("sockets").WholeOr(8192, 1, 1<<20)
+	f.TokenMs = e.At("token_ms").NumberOr(600_000, 1000, 24*mostMs)
+	e.Done()
+	l := v.At("list").Object(true)
+	f.ListURL = l.At("url").Text()
+	if u, err := url.Parse(f.ListURL); f.ListURL != "" && (err != nil || u.Scheme != "http" || u.Host == "") {
+		l.At("url").Wrong("%.60q is no http address", f.ListURL)
+	}
+	l.Done()
+	f.Keys = ReadKeys(v.At("keys"))
+	v.Done()
+	return f, doc.Err()
+}
+
+func orOne(s []string) []string {
+	if len(s) == 0 {
+		return []string{""}
+	}
+	return s
+}
+
+// Address reads host:port.
+func Address(v Value) string {
+	s := v.Text()
+	if _, _, err := net.SplitHostPort(s); s != "" && err != nil {
+		v.Wrong("%.60q is not host:port", s)
+	}
+	return s
+}
+
+// ReadKeys reads the keys of session tokens: exactly one signs.
+func ReadKeys(v Value) []Key {
+	var keys []Key
+	names, signing := map[string]bool{}, 0
+	for _, e := range v.List(true) {
+		e.Object(true)
+		k := Key{ID: unique(names, e.At("id")), Signs: e.At("signs").BoolOr(false)}
+		if seed := e.At("seed"); seed.Given() {
+			b, err := base64.StdEncoding.DecodeString(seed.Text())
+			if err != nil || len(b) != ed25519.SeedSize {
+				seed.Wrong("32 bytes in base64 are needed here")
+			} else {
+				k.Seed, k.Public = b, ed25519.NewKeyFromSeed(b).Public().(ed25519.PublicKey)
+			}
+		} else if k.Signs {
+			e.At("seed").Wrong("the key that signs needs it")
+		} else if b, err := base64.StdEncoding.DecodeString(e.At("public").Text()); err != nil || len(b) != ed25519.PublicKeySize {
+			e.At("public").Wrong("32 bytes in base64 are needed here")
+		} else {
+			k.Public = b
+		}
+		e.At("public")
+		if k.Signs {
+			signing++
+		}
+		e.Done()
+		keys = append(keys, k)
+	}
+	if signing != 1 && len(keys) > 0 {
+		v.Wrong("exactly one key signs, not %d", signing)
+	}
+	return keys
+}
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -24,6 +24,9 @@
 	spreadLeast = 1 * front.Second  // advice to come back: the least that HTTP's whole seconds can say
 	spreadMost  = 4 * front.Second  // and the most: a viewer at a kiosk waits no longer
 	serviceOver = 16                // a rate of service is the mean over so many plays taken
+	HeaderFor   = 5 * front.Second  // a client takes no longer to send its request
+	AnswerFor   = 10 * front.Second // nor to take its answer, however slowly it reads
+	IdleFor     = 30 * front.Second // a kept connection without a request is closed
 	slowest     = 10 * front.Second // time taken for one play when none was ever seen
 )
 
--- /dev/null
+++ b/lab/audit/audit.go
@@ -0,0 +1,476 @@
+// Package audit checks the six rules of the brief from tapes and settings alone: nothing of a front's
+// inside is known to it.
+package audit
+
+import (
+	"fmt"
+	"sort"
+
+	"gullrail/conf"
+	"gullrail/lab/tape"
+)
+
+const (
+	// skew is how far apart two sockets of one machine may see one event, in microseconds: a front closes
+	// one connection and writes on another, and the two nodes' goroutines run when the machine lets them.
+	skew = 60_000
+	// slack is how long after the time limit an answer still counts, in microseconds, for its way.
+	slack = 100_000
+	// cross is how many set-ups over the allowance chance may bring within one window.
+	cross = 2
+)
+
+// Rule is the verdict on one of the six.
+type Rule struct {
+	Name   string   `json:"name"`
+	Breaks []string `json:"breaks"` // each with the lines of the tape that show it
+}
+
+// Report is what a tape came to.
+type Report struct {
+	Rules       []Rule  `json:"rules"`
+	Requests    int     `json:"requests"`
+	Asked       int     `json:"plays_asked"` // viewers' first tries
+	Plays       int     `json:"plays"`
+	Declined    int     `json:"declined"`
+	Failed      int     `json:"failed"`
+	Denied      int     `json:"denied"`
+	Cut         int     `json:"cut"`  // requests whose front was killed, or gone, while they waited
+	Left        int     `json:"left"` // requests whose client went away first
+	MostAnswers int     `json:"answers_per_play"`
+	Doubled     int     `json:"allocations_doubled"`
+	Retried     int     `json:"further_allocations"`
+	Service     float64 `json:"service"`
+	FirstMs     []int64 `json:"-"` // first-frame latencies of plays, sorted
+	Rungs       []int   `json:"segments_by_rung"`
+}
+
+// Kept tells that no rule was broken.
+func (r *Report) Kept() bool {
+	for _, x := range r.Rules {
+		if len(x.Breaks) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+type audit struct {
+	set    *conf.Service
+	lines  []tape.Line
+	rep    *Report
+	breaks [6][]string
+}
+
+func (a *audit) broken(rule int, format string, args ...any) {
+	a.breaks[rule-1] = append(a.breaks[rule-1], fmt.Sprintf(format, args...))
+}
+
+// Check audits a tape. Lines must be in the order of their times, as a Tape records them.
+func Check(set *conf.Service, lines []tape.Line) *Report {
+	a := &audit{set: set, lines: lines, rep: &Report{}}
+	a.answers()
+	a.allocations()
+	a.drains()
+	a.cold()
+	a.terms()
+	a.budget()
+	for i, name := range []string{"one answer in time", "no set-up twice", "drains kept", "no cold node pushed over",
+		"floors and seats kept", "further allocations in budget"} {
+		a.rep.Rules = append(a.rep.Rules, Rule{name, a.breaks[i]})
+	}
+	sort.Slice(a.rep.FirstMs, func(i, j int) bool { return a.rep.FirstMs[i] < a.rep.FirstMs[j] })
+	return a.rep
+}
+
+func (a *audit) product(name string) *conf.Product {
+	if i, ok := a.set.ProductNumber(name); ok {
+		return &a.set.Products[i]
+	}
+	return &conf.Product{Name: name}
+}
+
+// answers checks rule 1 and counts service: a viewer's retries belong to its first try.
+func (a *audit) answers() {
+	type ask struct {
+		line    int
+		answers int
+		gone    bool
+	}
+	asks := map[int64]*ask{}
+	var order []int64
+	killed := map[string][]int64{} // when a front was not there to answer
+	first := map[string]int{}      // line of a viewer's first try
+	got := map[string]bool{}
+	asked, served := 0.0, 0.0
+	for i, l := range a.lines {
+		switch l.What {
+		case tape.Killed:
+			killed[l.Front] = append(killed[l.Front], l.T)
+		case tape.Ask:
+			asks[l.ID] = &ask{line: i}
+			order = append(order, l.ID)
+			a.rep.Requests++
+			if l.First {
+				a.rep.Asked++
+				first[l.Viewer] = i
+				asked += a.product(l.Product).Importance
+			}
+		case tape.Gone:
+			if q := asks[l.ID]; q != nil {
+				q.gone = true
+				a.rep.Left++
+			}
+		case tape.Served:
+			for len(a.rep.Rungs) <= l.Rung {
+				a.rep.Rungs = append(a.rep.Rungs, 0)
+			}
+			a.rep.Rungs[l.Rung]++
+		case tape.Answer:
+			q := asks[l.ID]
+			if q == nil {
+				a.broken(1, "line %d: an answer to nothing that was asked", i+1)
+				continue
+			}
+			if l.Status == 0 {
+				continue // judged below, as a request without an answer
+			}
+			q.answers++
+			a.rep.MostAnswers = max(a.rep.MostAnswers, q.answers)
+			from := a.lines[q.line]
+			if q.answers > 1 {
+				a.broken(1, "lines %d and %d: request %d has a second answer", q.line+1, i+1, l.ID)
+			}
+			if l.T > from.T+from.LimitMs*1000+slack {
+				a.broken(1, "lines %d and %d: request %d was answered after its time limit", q.line+1, i+1, l.ID)
+			}
+			switch {
+			case l.Status == 200 && l.Play == from.Play: // its manifest asked for again
+			case l.Status == 200:
+				a.rep.Plays++
+				if f, ok := first[from.Viewer]; ok && !got[from.Viewer] {
+					got[from.Viewer] = true
+					p := a.product(from.Product)
+					took := l.T - a.lines[f].T
+					a.rep.FirstMs = append(a.rep.FirstMs, took/1000)
+					if float64(took) <= p.TargetMs*1000 {
+						served += p.Importance
+					}
+				}
+			case l.Status == 503:
+				a.rep.Declined++
+			case l.Status == 502 || l.Status == 504:
+				a.rep.Failed++
+			default:
+				a.rep.Denied++
+			}
+		}
+	}
+	for _, id := range order {
+		q := asks[id]
+		if q.answers > 0 || q.gone {
+			continue
+		}
+		from := a.lines[q.line]
+		excused := false
+		for _, t := range killed[from.Front] { // what a killed front held is not its duty any more
+			excused = excused || t >= from.T && t <= from.T+from.LimitMs*1000
+		}
+		if a.down(from.Front, from.T) || excused {
+			a.rep.Cut++
+			continue
+		}
+		if a.ended(from.T + from.LimitMs*1000 + slack) {
+			a.broken(1, "line %d: request %d has no answer", q.line+1, id)
+		}
+	}
+	if asked > 0 {
+		a.rep.Service = served / asked
+	}
+}
+
+// down tells that a front's process did not run at a time.
+func (a *audit) down(front string, t int64) bool {
+	down := false
+	for _, l := range a.lines {
+		if l.T > t {
+			break
+		}
+		if l.Front == front && l.What == tape.Killed {
+			down = true
+		} else if l.Front == front && l.What == tape.Up {
+			down = false
+		}
+	}
+	return down
+}
+
+// ended tells that the tape goes on past a time.
+func (a *audit) ended(t int64) bool {
+	return len(a.lines) > 0 && a.lines[len(a.lines)-1].T >= t
+}
+
+// allocations checks rule 2: what a node saw of each play's allocations.
+func (a *audit) allocations() {
+	type state struct {
+		line, try int
+		node      string
+		out       bool
+		outUntil  int64
+		mayHave   int // line of the allocation that may have run, from 1
+	}
+	plays := map[string]*state{}
+	for i, l := range a.lines {
+		switch l.What {
+		case tape.SetUp:
+			s := plays[l.Play]
+			if s == nil {
+				plays[l.Play] = &state{line: i, try: l.Try, node: l.Node, out: true}
+				continue
+			}
+			a.rep.Retried++
+			switch {
+			case l.Try <= s.try:
+				a.broken(2, "lines %d and %d: play %s has allocation %d twice", s.line+1, i+1, l.Play, l.Try)
+				a.rep.Doubled++
+			case s.out && !a.closedSoon(i, s.node, l.Play, s.try):
+				a.broken(2, "lines %d and %d: play %s has two allocations out", s.line+1, i+1, l.Play)
+				a.rep.Doubled++
+			case a.product(l.Product).Paid && s.mayHave > 0:
+				a.broken(2, "lines %d and %d: paid play %s is set up again though it may have run", s.mayHave, i+1, l.Play)
+				a.rep.Doubled++
+			case a.product(l.Product).Paid && s.out:
+				a.broken(2, "lines %d and %d: paid play %s is set up again though it is not known to have never run", s.line+1, i+1, l.Play)
+				a.rep.Doubled++
+			}
+			s.line, s.try, s.node, s.out = i, l.Try, l.Node, true
+		case tape.Started, tape.Errored, tape.Dropped:
+			if s := plays[l.Play]; s != nil && s.try == l.Try {
+				s.out, s.mayHave = false, i+1
+			}
+		case tape.Refused:
+			if s := plays[l.Play]; s != nil && s.try == l.Try {
+				s.out = false
+			}
+		case tape.Crash:
+			for _, s := range plays {
+				if s.out && s.node == l.Node {
+					s.out, s.mayHave = false, i+1
+				}
+			}
+		case tape.Answer: // declined as if nothing had run
+			if s := plays[l.Play]; s != nil && l.Status == 503 && s.mayHave > 0 && a.product(a.lines[s.line].Product).Paid {
+				a.broken(2, "lines %d and %d: paid play %s is declined though it may have run", s.mayHave, i+1, l.Play)
+			}
+		}
+	}
+}
+
+// closedSoon tells that a node notes within skew after a line that the front let go of an allocation.
+func (a *audit) closedSoon(from int, node, play string, try int) bool {
+	for _, l := range a.lines[from:] {
+		if l.T > a.lines[from].T+skew {
+			return false
+		}
+		if l.Node == node && (l.What == tape.Crash || l.Play == play && l.Try == try &&
+			(l.What == tape.Dropped || l.What == tape.Refused || l.What == tape.Errored || l.What == tape.End)) {
+			return true
+		}
+	}
+	return false
+}
+
+// drains checks rule 3 by what the list service wrote to each front.
+func (a *audit) drains() {
+	type key struct{ front, node string }
+	told := map[key]int{} // line, from 1, since when a front knows
+	for i, l := range a.lines {
+		k := key{l.Front, l.Node}
+		switch l.What {
+		case tape.Told:
+			if l.Note == "ready" {
+				delete(told, k)
+			} else if told[k] == 0 {
+				told[k] = i + 1
+			}
+		case tape.Killed:
+			for t := range told {
+				if t.front == l.Front {
+					delete(told, t)
+				}
+			}
+		case tape.SetUp:
+			if t := told[k]; t > 0 && float64(l.T-a.lines[t-1].T) > a.set.DrainGraceMs*1000+skew {
+				a.broken(3, "lines %d and %d: %s set up at %s after it was told", t, i+1, l.Front, l.Node)
+			}
+		}
+	}
+}
+
+// cold checks rule 4: the set-ups a node got in any window of the stated length after its start.
+func (a *audit) cold() {
+	started, streams := map[string]int64{}, a.set.Kinds[0].Streams
+	for _, k := range a.set.Kinds {
+		streams = min(streams, k.Streams)
+	}
+	recent := map[string][]int64{}
+	for i, l := range a.lines {
+		switch l.What {
+		case tape.Life:
+			delete(started, l.Node)
+			delete(recent, l.Node)
+			if l.Note == "cold" {
+				started[l.Node] = l.T
+			}
+		case tape.Fell:
+			a.broken(4, "line %d: %s was pushed over", i+1, l.Node)
+		case tape.SetUp:
+			began, ok := started[l.Node]
+			if !ok || float64(l.T-began) > a.set.ColdLastsMs*1000 {
+				continue
+			}
+			most := Allowance(a.set, streams, float64(l.T-began)/1000)
+			times := append(recent[l.Node], l.T)
+			for len(times) > 0 && float64(l.T-times[0]) > a.set.FallOverMs*1000 {
+				times = times[1:]
+			}
+			recent[l.Node] = times
+			if float64(len(times)) > most+cross {
+				a.broken(4, "line %d: %d set-ups at cold %s within %v ms, %.1f allowed", i+1, len(times), l.Node, a.set.FallOverMs, most)
+			}
+		}
+	}
+}
+
+// Allowance is how many set-ups a cold node stands within the window that ends so many milliseconds
+// after its start.
+func Allowance(set *conf.Service, streams int, ageMs float64) float64 {
+	warmth := min(1, set.ColdShare+(1-set.ColdShare)*ageMs/set.ColdLastsMs)
+	return set.FallMultiple * float64(streams) / set.ColdLastsMs * warmth * set.FallOverMs
+}
+
+// terms checks rule 5: rungs under a floor, and plays held of one title and product by one front.
+func (a *audit) terms() {
+	type seat struct{ front, product, title string }
+	type hold struct {
+		seat seat
+		node string
+		try  int
+	}
+	held := map[string]hold{} // by play
+	count := map[seat]int{}
+	free := func(play string) {
+		if h, ok := held[play]; ok {
+			count[h.seat]--
+			delete(held, play)
+		}
+	}
+	freeAll := func(match func(h hold) bool) {
+		var plays []string
+		for play, h := range held {
+			if match(h) {
+				plays = append(plays, play)
+			}
+		}
+		for _, play := range plays {
+			free(play)
+		}
+	}
+	for i, l := range a.lines {
+		p := a.product(l.Product)
+		switch l.What {
+		case tape.SetUp, tape.Rung:
+			if l.Rung < p.Floor {
+				a.broken(5, "line %d: play %s of %s at rung %d, under its floor of %d", i+1, l.Play, l.Product, l.Rung, p.Floor)
+			}
+			if l.What == tape.Rung {
+				continue
+			}
+			free(l.Play)
+			h := hold{seat{l.Front, l.Product, l.Title}, l.Node, l.Try}
+			held[l.Play] = h
+			count[h.seat]++
+			if n := count[h.seat]; p.Seats > 0 && n > p.Seats {
+				if over := n - a.freedSoon(i, h.seat.front, h.seat.product, h.seat.title, held2(held)); over > p.Seats {
+					a.broken(5, "line %d: %s holds %d plays of %s, %s; %d seats", i+1, l.Front, over, l.Title, l.Product, p.Seats)
+				}
+			}
+		case tape.Refused, tape.Errored, tape.Dropped, tape.End, tape.Ended:
+			if h, ok := held[l.Play]; ok && h.try == l.Try && h.node == l.Node {
+				free(l.Play)
+			}
+		case tape.Crash, tape.Fell:
+			freeAll(func(h hold) bool { return h.node == l.Node })
+		case tape.Killed: // its plays are handed over to its next life, or end
+		case tape.Ask: // a viewer who comes back to the same front as its node does not deliver ends what it had
+			if h, ok := held[l.Play]; ok && l.Note == "broken" && h.seat.front == l.Front {
+				free(l.Play)
+			}
+		}
+	}
+}
+
+func held2[T any](m map[string]T) map[string]bool {
+	out := make(map[string]bool, len(m))
+	for k := range m {
+		out[k] = true
+	}
+	return out
+}
+
+// freedSoon counts plays of a seat whose end shows on another socket within skew after a line.
+func (a *audit) freedSoon(from int, front, product, title string, held map[string]bool) (n int) {
+	seat := map[string]bool{}
+	for _, l := range a.lines[:from+1] {
+		if l.What == tape.SetUp && l.Front == front && l.Product == product && l.Title == title && held[l.Play] {
+			seat[l.Play] = true
+		}
+	}
+	for _, l := range a.lines[from:] {
+		if l.T > a.lines[from].T+skew {
+			break
+		}
+		switch l.What {
+		case tape.Refused, tape.Errored, tape.Dropped, tape.End, tape.Ended:
+			if seat[l.Play] {
+				delete(seat, l.Play)
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// budget checks rule 6: in any window, a front's allocations beyond each play's first.
+func (a *audit) budget() {
+	if a.set.BudgetOverMs == 0 {
+		return
+	}
+	over := int64(a.set.BudgetOverMs * 1000)
+	taken, further := map[string][]int64{}, map[string][]int64{}
+	answers := map[int64]tape.Line{}
+	for _, l := range a.lines {
+		if l.What == tape.Answer {
+			answers[l.ID] = l
+		}
+	}
+	within := func(times []int64, from int64) int {
+		return len(times) - sort.Search(len(times), func(i int) bool { return times[i] >= from })
+	}
+	for i, l := range a.lines {
+		switch {
+		case l.What == tape.Ask:
+			ans := answers[l.ID]
+			again := ans.Status == 200 && ans.Play == l.Play // its manifest asked for again: no play was taken
+			if !again && (ans.Status < 400 || ans.Status >= 500) {
+				taken[l.Front] = append(taken[l.Front], l.T)
+			}
+		case l.What == tape.SetUp && l.Try > 0:
+			further[l.Front] = append(further[l.Front], l.T)
+			n, most := within(further[l.Front], l.T-over+skew), a.set.BudgetFree+a.set.BudgetShare*float64(within(taken[l.Front], l.T-over-skew))
+			if float64(n) > most {
+				a.broken(6, "line %d: %s made %d further allocations within %v ms, %.1f allowed", i+1, l.Front, n, a.set.BudgetOverMs, most)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/lab/day.go
@@ -0,0 +1,183 @@
+package lab
+
+import (
+	"fmt"
+
+	"gullrail/conf"
+)
+
+// Day is a rehearsal's script: the load, the stand-ins, and what goes wrong when.
+type Day struct {
+	Service    conf.Service
+	RawService []byte
+	Seconds    float64
+	Seed       uint64
+	Nodes      int
+	Rate       float64 // new viewers a second
+	Zipf       float64
+	Small      float64 // share of viewers who can't use the upper rungs
+	Uneven     float64 // spread of links and uplinks
+	SetUpMs    [2]float64
+	Guard      float64
+	ListLateMs float64
+	IdleMs     float64
+	Tries      int
+	PauseMs    float64
+	Honours    float64 // share of viewers who heed Retry-After
+	Products   []DayProduct
+	Faults     []Fault
+}
+
+// DayProduct is how a product is wanted.
+type DayProduct struct {
+	Number int
+	Share  float64
+	Watch  [2]float64 // seconds
+}
+
+// Fault is one thing that the script does.
+type Fault struct {
+	At     float64 // seconds
+	Do     string
+	Nodes  []int
+	Front  int
+	Rack   int
+	Title  string
+	For    float64 // seconds; 0 is for good
+	Amount float64
+}
+
+// The faults, with what Amount means.
+var faults = map[string]struct {
+	needs  string // nodes, front, rack, title or nothing
+	amount string
+}{
+	"drain":       {"nodes", "seconds from the word to the end of the process"},
+	"crash":       {"nodes", ""}, // it comes back cold after For
+	"silence":     {"nodes", ""}, // it takes all and answers nothing
+	"slow":        {"nodes", "set-ups take so many times as long"},
+	"errors":      {"nodes", "share of set-ups that fail"},
+	"vanish":      {"nodes", "share of answers that vanish"},
+	"neighbour":   {"nodes", "share of the link that another program takes"},
+	"uplink":      {"rack", "the uplink gives so many times less"},
+	"list-down":   {"", ""},
+	"list-late":   {"", "seconds more"},
+	"crowd":       {"title", "share of new viewers who want this title"},
+	"front-kill":  {"front", ""}, // it is started again after For
+	"front-stall": {"front", ""},
+}
+
+// ReadDay reads and checks a day.
+func ReadDay(file string) (*Day, error) {
+	doc, v, err := conf.Open(file)
+	if err != nil {
+		return nil, err
+	}
+	return readDay(doc, v)
+}
+
+// ParseDay reads a day from text.
+func ParseDay(file string, text []byte) (*Day, error) {
+	doc, v, err := conf.Parse(file, text)
+	if err != nil {
+		return nil, err
+	}
+	return readDay(doc, v)
+}
+
+func readDay(doc *conf.Doc, v conf.Value) (*Day, error) {
+	v.Object(true)
+	sv := v.At("service")
+	d := &Day{Service: conf.ReadService(sv)}
+	if sv.Given() {
+		d.RawService = sv.Raw()
+	}
+	e := v.At("day").Object(true)
+	d.Seconds, d.Seed = e.At("seconds").Number(1, 86400), uint64(e.At("seed").WholeOr(1, 0, 1<<53))
+	d.Nodes, d.Rate = e.At("nodes").Whole(1, 10000), e.At("rate").Number(0, 10000)
+	d.Zipf, d.Small = e.At("zipf").NumberOr(0.9, 0, 5), e.At("small_screens").NumberOr(0.25, 0, 1)
+	d.Uneven, d.Guard = e.At("uneven").NumberOr(0.2, 0, 0.9), e.At("guard").NumberOr(1, 0, 100)
+	d.SetUpMs = pair(e.At("set_up_ms"), [2]float64{40, 120})
+	d.ListLateMs, d.IdleMs = e.At("list_late_ms").NumberOr(2000, 0, 3.6e6), e.At("idle_ms").NumberOr(6000, 100, 3.6e6)
+	w := e.At("viewers").Object(false)
+	d.Tries, d.PauseMs = w.At("tries").WholeOr(3, 0, 1000), w.At("pause_ms").NumberOr(1500, 0, 3.6e6)
+	d.Honours = w.At("honour").NumberOr(0.6, 0, 1)
+	w.Done()
+	for _, p := range e.At("products").List(true) {
+		p.Object(true)
+		n, ok := d.Service.ProductNumber(p.At("name").Text())
+		if !ok {
+			p.At("name").Wrong("the service has no such product")
+		}
+		d.Products = append(d.Products, DayProduct{n, p.At("share").Number(0, 1), pair(p.At("watch_s"), [2]float64{20, 60})})
+		p.Done()
+	}
+	for _, x := range e.At("faults").List(false) {
+		d.Faults = append(d.Faults, d.fault(x))
+	}
+	e.Done()
+	v.Done()
+	return d, doc.Err()
+}
+
+func pair(v conf.Value, or [2]float64) [2]float64 {
+	if !v.Given() {
+		return or
+	}
+	n := v.Numbers(0, 3.6e6)
+	if len(n) != 2 || n[1] < n[0] {
+		v.Wrong("two numbers, the lower first, are needed here")
+		return or
+	}
+	return [2]float64{n[0], n[1]}
+}
+
+func (d *Day) fault(v conf.Value) Fault {
+	v.Object(true)
+	f := Fault{At: v.At("at_s").Number(0, d.Seconds), Do: v.At("do").Text(), For: v.At("for_s").NumberOr(0, 0, 86400)}
+	kind, ok := faults[f.Do]
+	if !ok {
+		v.At("do").Wrong("no such fault: %.40q", f.Do)
+	}
+	switch kind.needs {
+	case "nodes":
+		for _, n := range v.At("nodes").List(true) {
+			f.Nodes = append(f.Nodes, n.Whole(0, d.Nodes-1))
+		}
+	case "front":
+		f.Front = v.At("front").Whole(0, d.Service.Fronts-1)
+	case "rack":
+		f.Rack = v.At("rack").Whole(0, d.Service.Racks-1)
+	case "title":
+		f.Title = v.At("title").Text()
+		if _, ok := d.Service.Lookup(f.Title); !ok {
+			v.At("title").Wrong("the service has no such title")
+		}
+	}
+	if kind.amount != "" {
+		f.Amount = v.At("amount").Number(0, 1e6)
+	}
+	v.Done()
+	return f
+}
+
+func (f Fault) String() string {
+	s := f.Do
+	switch faults[f.Do].needs {
+	case "nodes":
+		s += fmt.Sprintf(" nodes %v", f.Nodes)
+	case "front":
+		s += fmt.Sprintf(" front %d", f.Front)
+	case "rack":
+		s += fmt.Sprintf(" rack %d", f.Rack)
+	case "title":
+		s += " " + f.Title
+	}
+	if f.Amount > 0 {
+		s += fmt.Sprintf(" by %v", f.Amount)
+	}
+	if f.For > 0 {
+		s += fmt.Sprintf(" for %v s", f.For)
+	}
+	return s
+}
--- /dev/null
+++ b/lab/node.go
@@ -0,0 +1,643 @@
+// Package lab holds the stand-ins that the project rehearses against: playout nodes, the list service
+// and viewers, with the faults of a script. Nothing of the product imports it.
+package lab
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+
+	"gullrail/conf"
+	"gullrail/dash"
+	"gullrail/front"
+	"gullrail/lab/audit"
+	"gullrail/lab/tape"
+	"gullrail/nodes"
+	"gullrail/pulse"
+	"gullrail/session"
+	"gullrail/token"
+)
+
+// ShareHeader tells a simulated player what share of its rate it is delivered: the stand-in's segments are
+// small, and its links are reckoned, not filled.
+const ShareHeader = "Lab-Share"
+
+// suggested is CTA-5006's dynamic response header; its key mb suggests the most bitrate, in kbit/s.
+const suggested = "CMSD-Dynamic"
+
+// Fleet is all stand-in nodes and what they share: racks with their uplinks. One lock covers it, as
+// the figures of a rack need those of all its nodes.
+type Fleet struct {
+	set     *conf.Service
+	check   *token.Checker
+	tape    *tape.Tape
+	setUpMs [2]float64 // a set-up takes from so long to so long
+	idle    time.Duration
+	guard   float64 // set-ups are turned away while so much of the link is asked; 0 is never
+
+	mu    sync.Mutex
+	rnd   *rand.Rand
+	nodes map[string]*Node
+	racks []rack
+}
+
+type rack struct {
+	given   float64 // kB a second
+	divided float64 // by a fault
+}
+
+// Node is one stand-in playout node.
+type Node struct {
+	fleet  *Fleet
+	line   nodes.Line
+	cell   int
+	server *http.Server
+	ctx    context.Context
+	kill   context.CancelFunc
+	wg     sync.WaitGroup
+
+	// Under the fleet's lock.
+	up       bool
+	fallen   bool
+	draining bool
+	life     int64
+	mark     int64
+	coldAt   time.Time // start of a cold process; zero is warm
+	plays    map[string]*running
+	streams  map[string]*stream
+	epochs   map[string]int64
+	setUps   []time.Time
+	shares   []shareAt
+	given    float64 // kB a second
+
+	silent chan struct{} // closed when a silence ends; nil when there is none
+	vanish float64       // share of answers that vanish
+	errors float64       // share of set-ups that fail
+	slow   float64       // set-ups take so many times as long
+	taken  float64       // share of the link that another program takes
+}
+
+type shareAt struct {
+	at    time.Time
+	share float64
+}
+
+type running struct {
+	nodes.Play
+	front    string
+	product  *conf.Product
+	playing  bool
+	began    time.Time
+	until    time.Time
+	lastUsed time.Time
+}
+
+type stream struct {
+	notes  chan nodes.Note
+	goneAt time.Time // zero while it is open
+}
+
+func (f *Fleet) rate(r *running) float64 { return f.set.RatesKB[r.Rung] * r.product.Rate }
+
+// asked is what is asked of a node's link, kB a second.
+func (n *Node) asked() (sum float64) {
+	for _, r := range n.plays {
+		sum += n.fleet.rate(r)
+	}
+	return sum
+}
+
+func (n *Node) warmth() float64 {
+	if n.coldAt.IsZero() {
+		return 1
+	}
+	age := float64(time.Since(n.coldAt).Milliseconds())
+	return min(1, n.fleet.set.ColdShare+(1-n.fleet.set.ColdShare)*age/n.fleet.set.ColdLastsMs)
+}
+
+func (n *Node) link() float64 { return n.given * (1 - n.taken) * n.warmth() }
+
+// loads are what is asked of the link and of the rack's uplink over what they give.
+func (n *Node) loads() (link, uplink float64) {
+	f := n.fleet
+	rk := n.cell % len(f.racks)
+	sum := 0.0
+	for _, o := range f.nodes {
+		if o.cell%len(f.racks) == rk {
+			sum += o.asked()
+		}
+	}
+	return n.asked() / n.link(), sum * f.racks[rk].divided / f.racks[rk].given
+}
+
+func (n *Node) share() float64 {
+	link, uplink := n.loads()
+	return 1 / max(1, link, uplink)
+}
+
+// start opens the node's socket and runs a process's life.
+func (n *Node) start(cold bool) error {
+	listen, err := listenAgain(n.line.Address)
+	if err != nil {
+		return fmt.Errorf("stand-in node %s: %w", n.line.Name, err)
+	}
+	f := n.fleet
+	f.mu.Lock()
+	n.ctx, n.kill = context.WithCancel(context.Background())
+	n.up, n.draining, n.life, n.mark = true, false, time.Now().UnixNano(), 0
+	n.plays, n.streams, n.setUps, n.shares = map[string]*running{}, map[string]*stream{}, nil, nil
+	n.epochs = map[string]int64{}
+	n.coldAt = time.Time{}
+	note := "warm"
+	if cold {
+		n.coldAt, note = time.Now(), "cold"
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/plays/{play}", n.setUp)
+	mux.HandleFunc("PUT /v1/plays/{play}/rung", n.setRung)
+	mux.HandleFunc("DELETE /v1/plays/{play}", n.endPlay)
+	mux.HandleFunc("GET /v1/load", n.load)
+	mux.HandleFunc("GET /v1/stream", n.serveStream)
+	mux.HandleFunc("GET /v1/media/{token}/{title}/{rep}/{seg}", n.media)
+	ctx := n.ctx
+	n.server = &http.Server{Handler: mux, BaseContext: func(net.Listener) context.Context { return ctx }}
+	server := n.server
+	f.tape.Add(tape.Line{What: tape.Life, Node: n.line.Name, Note: note})
+	f.mu.Unlock()
+	n.wg.Add(2)
+	go func() { defer n.wg.Done(); server.Serve(listen) }()
+	go func() { defer n.wg.Done(); n.tick(ctx) }()
+	return nil
+}
+
+// listenAgain opens a port that was closed a moment ago.
+func listenAgain(addr string) (l net.Listener, err error) {
+	for range 50 {
+		if l, err = net.Listen("tcp", addr); err == nil {
+			return l, nil
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return nil, err
+}
+
+// crash ends the process at once: its sockets are cut, its plays are lost.
+func (n *Node) crash(what string) {
+	n.fleet.mu.Lock()
+	if !n.up {
+		n.fleet.mu.Unlock()
+		return
+	}
+	n.up = false
+	n.plays = map[string]*running{}
+	n.fleet.tape.Add(tape.Line{What: what, Node: n.line.Name})
+	n.fleet.mu.Unlock()
+	n.kill()
+	n.server.Close()
+}
+
+// hush makes the node silent until the returned function is called: it takes connections and requests, and
+// answers nothing.
+func (n *Node) hush() (end func()) {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	silent := make(chan struct{})
+	n.silent = silent
+	return func() {
+		n.fleet.mu.Lock()
+		if n.silent == silent {
+			n.silent = nil
+		}
+		n.fleet.mu.Unlock()
+		close(silent)
+	}
+}
+
+// hushed waits while the node is silent; false says that the request is over.
+func (n *Node) hushed(ctx context.Context) bool {
+	n.fleet.mu.Lock()
+	silent := n.silent
+	n.fleet.mu.Unlock()
+	if silent != nil {
+		select {
+		case <-silent:
+		case <-ctx.Done():
+			return false
+		}
+	}
+	return true
+}
+
+func answer(w http.ResponseWriter, status int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	json.NewEncoder(w).Encode(body)
+}
+
+func (n *Node) report(w http.ResponseWriter) {
+	link, uplink := n.loads()
+	l := front.Load{Streams: float64(len(n.plays)), Link: link, Uplink: -1}
+	if n.fleet.set.Uplinks {
+		l.Uplink = uplink
+	}
+	w.Header().Set(nodes.LoadHeader, nodes.FormatLoad(l))
+}
+
+func (n *Node) setUp(w http.ResponseWriter, r *http.Request) {
+	f, id := n.fleet, r.PathValue("play")
+	var ask nodes.SetUp
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 64<<10)).Decode(&ask); err != nil {
+		answer(w, http.StatusBadRequest, nodes.Refusal{NeverRan: true, Why: err.Error()})
+		return
+	}
+	line := tape.Line{What: tape.SetUp, Node: n.line.Name, Front: ask.Front, Play: id, Try: ask.Try, Product: ask.Product,
+		Title: ask.Title, Viewer: ask.Viewer, Rung: ask.Rung}
+	f.tape.Add(line)
+	ends := func(what, why string) { line.What, line.Note = what, why; f.tape.Add(line) }
+	f.mu.Lock()
+	wait := time.Duration((f.setUpMs[0] + f.rnd.Float64()*(f.setUpMs[1]-f.setUpMs[0])) * n.slow * float64(time.Millisecond))
+	fails, vanishes := f.rnd.Float64() < n.errors, f.rnd.Float64() < n.vanish
+	refusal, p := n.refusal(&ask, id)
+	if refusal == "" {
+		number, _ := f.set.ProductNumber(ask.Product)
+		p = &running{Play: nodes.Play{Play: id, Epoch: ask.Epoch, Try: ask.Try, Product: ask.Product, Title: ask.Title,
+			Viewer: ask.Viewer, Rung: ask.Rung, Seq: ask.Seq, Top: ask.Top}, front: ask.Front, product: &f.set.Products[number]}
+		n.plays[id] = p // it takes its place, and its part of the link, from here on
+		n.epochs[ask.Front] = max(n.epochs[ask.Front], ask.Epoch)
+	}
+	fell := n.pushed()
+	f.mu.Unlock()
+	if fell {
+		n.crash(tape.Fell)
+		return
+	}
+	if refusal != "" {
+		if !n.hushed(r.Context()) {
+			ends(tape.Dropped, "silent")
+			return
+		}
+		ends(tape.Refused, refusal)
+		f.mu.Lock()
+		if f.set.Reports == "answers" {
+			n.report(w)
+		}
+		f.mu.Unlock()
+		answer(w, http.StatusServiceUnavailable, nodes.Refusal{NeverRan: true, Why: refusal})
+		return
+	}
+	select {
+	case <-time.After(wait):
+	case <-r.Context().Done():
+	}
+	if r.Context().Err() != nil || !n.hushed(r.Context()) {
+		n.drop(id, p)
+		if n.ctx.Err() == nil {
+			ends(tape.Dropped, "the front let go")
+		}
+		return
+	}
+	if fails {
+		n.drop(id, p)
+		ends(tape.Errored, "")
+		answer(w, http.StatusInternalServerError, nodes.Refusal{Why: "fault"})
+		return
+	}
+	f.mu.Lock()
+	if n.plays[id] != p { // ended while it was set up
+		f.mu.Unlock()
+		ends(tape.Errored, "ended")
+		answer(w, http.StatusGone, nodes.Refusal{Why: "ended"})
+		return
+	}
+	n.mark++
+	p.playing, p.began, p.lastUsed = true, time.Now(), time.Now()
+	if ask.LengthMs > 0 {
+		p.until = time.Now().Add(time.Duration(ask.LengthMs) * time.Millisecond)
+	}
+	out := nodes.Started{Life: n.life, Mark: n.mark, Rung: p.Rung}
+	if f.set.Reports == "answers" {
+		n.report(w)
+	}
+	f.mu.Unlock()
+	if vanishes { // it runs, and nobody is told
+		<-r.Context().Done()
+		ends(tape.Dropped, "its answer vanished")
+		return
+	}
+	ends(tape.Started, "")
+	answer(w, http.StatusCreated, out)
+}
+
+// refusal tells why a set-up is turned away, if it is. The lock is held.
+func (n *Node) refusal(ask *nodes.SetUp, id string) (string, *running) {
+	f := n.fleet
+	number, known := f.set.ProductNumber(ask.Product)
+	t, ok := f.set.Lookup(ask.Title)
+	kind := f.set.Kinds[0]
+	for _, k := range f.set.Kinds {
+		if k.Name == n.line.Kind {
+			kind = k
+		}
+	}
+	link, _ := n.loads()
+	switch {
+	case !known || ask.Rung < 0 || ask.Rung >= len(f.set.RatesKB) || ask.Rung < f.set.Products[number].Floor:
+		return "malformed", nil
+	case !ok || ((n.cell-t.Home)%f.set.Cells+f.set.Cells)%f.set.Cells >= t.Copies:
+		return "the title is not here", nil
+	case ask.Epoch < n.epochs[ask.Front]:
+		return "an older life of the front", nil
+	case n.plays[id] != nil:
+		return "the play is here already", nil
+	case n.draining:
+		return "draining", nil
+	case len(n.plays) >= kind.Streams:
+		return "no stream free", nil
+	case f.guard > 0 && link >= f.guard:
+		return "link full", nil
+	}
+	return "", nil
+}
+
+// pushed counts a set-up against what a cold node stands. The lock is held.
+func (n *Node) pushed() bool {
+	f := n.fleet
+	age := float64(time.Since(n.coldAt).Milliseconds())
+	if n.coldAt.IsZero() || age > f.set.ColdLastsMs {
+		return false
+	}
+	now := time.Now()
+	n.setUps = append(n.setUps, now)
+	for now.Sub(n.setUps[0]) > time.Duration(f.set.FallOverMs)*time.Millisecond {
+		n.setUps = n.setUps[1:]
+	}
+	n.fallen = float64(len(n.setUps)) > audit.Allowance(f.set, f.set.Kinds[0].Streams, age)+2
+	return n.fallen
+}
+
+func (n *Node) drop(id string, p *running) {
+	n.fleet.mu.Lock()
+	if n.plays[id] == p {
+		delete(n.plays, id)
+	}
+	n.fleet.mu.Unlock()
+}
+
+func (n *Node) setRung(w http.ResponseWriter, r *http.Request) {
+	var ask nodes.SetRung
+	if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, 64<<10)).Decode(&ask); err != nil {
+		answer(w, http.StatusBadRequest, nodes.Refusal{Why: err.Error()})
+		return
+	}
+	if !n.hushed(r.Context()) {
+		return
+	}
+	f := n.fleet
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := n.plays[r.PathValue("play")]
+	if p == nil || p.Try != ask.Try || p.front != ask.Front || ask.Rung < 0 || ask.Rung >= len(f.set.RatesKB) {
+		answer(w, http.StatusNotFound, nodes.Refusal{Why: "no such play"})
+		return
+	}
+	if ask.Seq > p.Seq {
+		p.Rung, p.Seq = ask.Rung, ask.Seq
+		f.tape.Add(tape.Line{What: tape.Rung, Node: n.line.Name, Front: p.front, Play: p.Play.Play, Try: p.Try, Product: p.Product, Rung: p.Rung})
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (n *Node) endPlay(w http.ResponseWriter, r *http.Request) {
+	if !n.hushed(r.Context()) {
+		return
+	}
+	f, q := n.fleet, r.URL.Query()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	p := n.plays[r.PathValue("play")]
+	if p == nil || strconv.Itoa(p.Try) != q.Get("try") || p.front != q.Get("front") {
+		answer(w, http.StatusNotFound, nodes.Refusal{Why: "no such play"})
+		return
+	}
+	f.tape.Add(tape.Line{What: tape.End, Node: n.line.Name, Front: p.front, Play: p.Play.Play, Try: p.Try, Note: q.Get("why")})
+	delete(n.plays, p.Play.Play)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (n *Node) load(w http.ResponseWriter, r *http.Request) {
+	if !n.hushed(r.Context()) {
+		return
+	}
+	n.fleet.mu.Lock()
+	n.report(w)
+	n.fleet.mu.Unlock()
+	w.WriteHeader(http.StatusOK)
+}
+
+// media serves a segment, by the token alone and the rung in force.
+func (n *Node) media(w http.ResponseWriter, r *http.Request) {
+	if !n.hushed(r.Context()) {
+		return
+	}
+	cl, err := n.fleet.check.Check(r.PathValue("token"), time.Now())
+	switch {
+	case errors.Is(err, token.ErrForeign):
+		http.Error(w, err.Error(), http.StatusForbidden)
+		return
+	case err != nil:
+		http.Error(w, err.Error(), http.StatusUnauthorized)
+		return
+	case cl.Node != n.line.Name || cl.Title != r.PathValue("title"):
+		http.Error(w, "token: made for another node or title", http.StatusForbidden)
+		return
+	}
+	rung, err := dash.RungOf(r.PathValue("rep"))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	f := n.fleet
+	f.mu.Lock()
+	p := n.plays[cl.Play]
+	if p == nil || !p.playing {
+		f.mu.Unlock()
+		http.Error(w, "the play has ended", http.StatusGone)
+		return
+	}
+	p.lastUsed = time.Now()
+	share, allowed := n.share(), p.Rung
+	f.mu.Unlock()
+	kbit := f.set.RatesKB[allowed] * p.product.Rate * 8
+	w.Header().Set(suggested, fmt.Sprintf("%q;mb=%d", n.line.Name, int64(kbit)))
+	if rung > min(allowed, cl.Rung) || rung < p.product.Floor {
+		http.Error(w, "rung not allowed", http.StatusForbidden)
+		return
+	}
+	f.tape.Add(tape.Line{What: tape.Served, Node: n.line.Name, Play: cl.Play, Rung: rung})
+	w.Header().Set(ShareHeader, strconv.FormatFloat(share, 'f', 3, 64))
+	w.Header().Set("Content-Type", "video/mp4")
+	w.Write(segment[:512*(rung+1)])
+}
+
+var segment [64 << 10]byte
+
+// serveStream is the stream of notes to one front.
+func (n *Node) serveStream(w http.ResponseWriter, r *http.Request) {
+	if !n.hushed(r.Context()) {
+		return
+	}
+	f, name := n.fleet, r.URL.Query().Get("front")
+	epoch, err := strconv.ParseInt(r.URL.Query().Get("epoch"), 10, 64)
+	if err != nil || name == "" {
+		answer(w, http.StatusBadRequest, nodes.Refusal{Why: "front and epoch are needed"})
+		return
+	}
+	s := &stream{notes: make(chan nodes.Note, 4096)}
+	f.mu.Lock()
+	if epoch < n.epochs[name] {
+		f.mu.Unlock()
+		answer(w, http.StatusConflict, nodes.Refusal{Why: "an older life of the front"})
+		return
+	}
+	n.epochs[name] = epoch
+	n.streams[name] = s
+	hello := nodes.Note{Kind: nodes.Hello, Node: n.line.Name, Life: n.life, Mark: n.mark}
+	for _, p := range n.plays {
+		if p.front == name && p.playing {
+			play := p.Play
+			if !p.until.IsZero() {
+				play.LeftMs = max(1, time.Until(p.until).Milliseconds())
+			}
+			hello.Plays = append(hello.Plays, play)
+		}
+	}
+	f.mu.Unlock()
+	sort.Slice(hello.Plays, func(i, j int) bool { return hello.Plays[i].Play < hello.Plays[j].Play })
+	defer func() {
+		f.mu.Lock()
+		s.goneAt = time.Now()
+		f.mu.Unlock()
+		f.tape.Add(tape.Line{What: tape.Unstream, Node: n.line.Name, Front: name})
+	}()
+	enc, flush := json.NewEncoder(w), http.NewResponseController(w)
+	send := func(note nodes.Note) bool {
+		if !n.hushed(r.Context()) || enc.Encode(note) != nil {
+			return false
+		}
+		return flush.Flush() == nil
+	}
+	if !send(hello) {
+		return
+	}
+	beat := time.NewTicker(session.Duration(pulse.Beat))
+	defer beat.Stop()
+	for {
+		note := nodes.Note{Kind: nodes.Beat}
+		select {
+		case note = <-s.notes:
+		case <-beat.C:
+		case <-r.Context().Done():
+			return
+		}
+		if !send(note) {
+			return
+		}
+	}
+}
+
+// tell queues a note to a front; one that does not read loses its stream. The lock is held.
+func (n *Node) tell(front string, note nodes.Note) {
+	if s := n.streams[front]; s != nil && s.goneAt.IsZero() {
+		select {
+		case s.notes <- note:
+		default:
+		}
+	}
+}
+
+// tick ends plays that are over, idle or whose front is lost, and tells shares and loads.
+func (n *Node) tick(ctx context.Context) {
+	f := n.fleet
+	every := time.NewTicker(250 * time.Millisecond)
+	defer every.Stop()
+	lag := time.Duration(f.set.NoteLagMs) * time.Millisecond
+	for beat := 0; ; beat++ {
+		select {
+		case <-every.C:
+		case <-ctx.Done():
+			return
+		}
+		f.mu.Lock()
+		now := time.Now()
+		var ids []string
+		for id := range n.plays {
+			ids = append(ids, id)
+		}
+		sort.Strings(ids)
+		for _, id := range ids {
+			p := n.plays[id]
+			alone := p.began // since when nobody answers for the play
+			if s := n.streams[p.front]; s != nil {
+				if alone = s.goneAt; s.goneAt.IsZero() {
+					alone = now
+				}
+			}
+			if !p.playing || now.Sub(p.lastUsed) <= f.idle && now.Sub(alone) <= session.Duration(pulse.Lease) {
+				continue
+			}
+			delete(n.plays, id)
+			f.tape.Add(tape.Line{What: tape.Ended, Node: n.line.Name, Front: p.front, Play: id, Try: p.Try})
+			n.tell(p.front, nodes.Note{Kind: nodes.Ended, Play: id, Try: p.Try, How: nodes.Over})
+		}
+		if beat%4 == 0 {
+			n.tellShares(now, lag, beat%12 == 0)
+		}
+		f.mu.Unlock()
+	}
+}
+
+// tellShares tells each front, on one of its plays here, the share delivered a while ago, while it is short
+// and once more, and now and then what is asked where reports come in answers. The lock is held.
+func (n *Node) tellShares(now time.Time, lag time.Duration, loads bool) {
+	n.shares = append(n.shares, shareAt{now, n.share()})
+	old, before := 1.0, 1.0
+	for len(n.shares) > 0 && now.Sub(n.shares[0].at) >= lag {
+		before, old = old, n.shares[0].share
+		if len(n.shares) == 1 || now.Sub(n.shares[1].at) < lag {
+			break
+		}
+		n.shares = n.shares[1:]
+	}
+	one := map[string]*running{}
+	var names []string
+	for _, p := range n.plays {
+		if o := one[p.front]; p.playing && (o == nil || p.Play.Play < o.Play.Play) {
+			if o == nil {
+				names = append(names, p.front)
+			}
+			one[p.front] = p
+		}
+	}
+	sort.Strings(names)
+	link, uplink := n.loads()
+	if !n.fleet.set.Uplinks {
+		uplink = -1
+	}
+	for _, name := range names {
+		p := one[name]
+		if old < 0.98 || before < 0.98 {
+			n.tell(name, nodes.Note{Kind: nodes.Share, Play: p.Play.Play, Try: p.Try, Share: old})
+		}
+		if loads && n.fleet.set.Reports == "answers" {
+			n.tell(name, nodes.Note{Kind: nodes.Load, Play: p.Play.Play, Try: p.Try, Link: link, Uplink: uplink})
+		}
+	}
+}
--- /dev/null
+++ b/lab/player.go
@@ -0,0 +1,273 @@
+package lab
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"gullrail/conf"
+	"gullrail/dash"
+	"gullrail/lab/tape"
+)
+
+// Viewer is one simulated viewer: what it wants and how it behaves.
+type Viewer struct {
+	Name    string
+	Product *conf.Product
+	Title   string
+	Top     int
+	Watch   time.Duration
+	Fronts  []string      // addresses it may ask, the first one first
+	Names   []string      // of these fronts
+	Tries   int           // further tries after a decline, a failure or a break
+	Pause   time.Duration // before one, where no advice is heeded
+	Honours bool          // heeds Retry-After
+	Chance  *rand.Rand
+}
+
+// Players are the simulated viewers' side of the sockets.
+type Players struct {
+	Set    *conf.Service
+	Tape   *tape.Tape
+	Client *http.Client
+	ids    atomic.Int64
+	Seen   Seen
+}
+
+// Seen is what the viewers saw, for the report.
+type Seen struct {
+	mu       sync.Mutex
+	Segments int
+	Short    int // delivered under 98%
+	Failed   int
+}
+
+func (s *Seen) add(f func(s *Seen)) { s.mu.Lock(); f(s); s.mu.Unlock() }
+
+// NewPlayers makes the players' side with connections of its own.
+func NewPlayers(set *conf.Service, t *tape.Tape) *Players {
+	return &Players{Set: set, Tape: t, Client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64,
+		IdleConnTimeout: 10 * time.Second}}}
+}
+
+// result is what a request for a manifest came to.
+type result struct {
+	status   int
+	play     string
+	manifest dash.Manifest
+	back     time.Duration // advice; 0 is none
+}
+
+// ask sends one request for a manifest and records it with its answer. before is the play that the viewer
+// had, broken that its node does not deliver.
+func (p *Players) ask(ctx context.Context, v *Viewer, at int, target, before string, first, broken bool) (res result) {
+	id := p.ids.Add(1)
+	line := tape.Line{What: tape.Ask, ID: id, Front: v.Names[at], Viewer: v.Name, Product: v.Product.Name,
+		Title: v.Title, LimitMs: int64(v.Product.LimitMs), Play: before, First: first}
+	if broken {
+		line.Note = "broken"
+	}
+	limit := time.Duration(v.Product.LimitMs) * time.Millisecond
+	ctx, cancel := context.WithTimeout(ctx, limit+2*time.Second) // longer than its limit, to see what comes late
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return result{}
+	}
+	p.Tape.Add(line)
+	resp, err := p.Client.Do(req)
+	ans := tape.Line{What: tape.Answer, ID: id}
+	defer func() { ans.Status, ans.Play = res.status, res.play; p.Tape.Add(ans) }()
+	if err != nil {
+		ans.Note = err.Error()
+		return result{}
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		ans.Note = err.Error()
+		return result{}
+	}
+	res = result{status: resp.StatusCode, play: resp.Header.Get(dash.PlayHeader)}
+	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil {
+		res.back = time.Duration(s) * time.Second
+	}
+	if resp.StatusCode != http.StatusOK {
+		ans.Note = strings.TrimSpace(string(body))
+		return res
+	}
+	if res.manifest, err = dash.Decode(body); err != nil {
+		ans.Note = err.Error()
+		res.status = 0
+		return res
+	}
+	if loc, err := resp.Request.URL.Parse(res.manifest.Location); err == nil {
+		res.manifest.Location = loc.String()
+	}
+	return res
+}
+
+// firstURL asks for the title anew.
+func (p *Players) firstURL(v *Viewer, at int, left time.Duration) string {
+	q := url.Values{"product": {v.Product.Name}, "viewer": {v.Name}, "top": {strconv.Itoa(v.Top)},
+		"length_ms": {strconv.FormatInt(left.Milliseconds(), 10)}}
+	return "http://" + v.Fronts[at] + "/v1/titles/" + url.PathEscape(v.Title) + "/manifest.mpd?" + q.Encode()
+}
+
+// Watch lives through one viewer's wish: asks, fetches, retries, returns after breaks and moves, and
+// leaves when its time is over or its patience is.
+func (p *Players) Watch(ctx context.Context, v *Viewer) {
+	began := time.Now()
+	first, at, tries := true, 0, 0
+	target, before, broken := "", "", false
+	for ctx.Err() == nil && time.Since(began) < v.Watch {
+		if target == "" {
+			target = p.firstURL(v, at, v.Watch-time.Since(began))
+		}
+		res := p.ask(ctx, v, at, target, before, first, broken)
+		first = false
+		if res.status == http.StatusOK {
+			how := p.play(ctx, v, at, &res, began)
+			if how == over {
+				p.leave(ctx, res.manifest.Location)
+				return
+			}
+			// Told twice that it is gone, it says so to a front that does not know yet.
+			broken = how == stalled || res.play == before
+			before = res.play
+			target = res.manifest.Location
+			if broken {
+				target += "?broken=1"
+			}
+			if how == away { // moved, or its node is lost: it is expected back at the same front
+				continue
+			}
+		}
+		if tries++; tries > v.Tries {
+			return
+		}
+		pause := time.Duration((0.5 + v.Chance.Float64()) * float64(v.Pause))
+		if v.Honours && res.back > 0 {
+			pause = time.Duration((1 + v.Chance.Float64()) * float64(res.back))
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+		if res.status != http.StatusOK { // another front, without the token: that one may not know it
+			at, target, before, broken = (at+1)%len(v.Fronts), "", "", false
+		}
+	}
+}
+
+// outcome is why a player stopped fetching.
+type outcome int
+
+const (
+	over    outcome = iota // its time is over, or it was told to stop
+	away                   // the node says that the play ended there: ask again at once
+	stalled                // the node does not deliver
+)
+
+// play fetches segments until the viewer's time is over or the play breaks.
+func (p *Players) play(ctx context.Context, v *Viewer, at int, res *result, began time.Time) outcome {
+	every := time.Duration(res.manifest.Segment) * time.Millisecond
+	hint, fails := "", 0
+	for n := 1; time.Since(began) < v.Watch; n++ {
+		m := &res.manifest
+		rung := m.Rungs[len(m.Rungs)-1]
+		status, suggest := p.fetch(ctx, m.Base+dash.RepresentationID(rung)+"/"+strconv.Itoa(n)+".m4s", every)
+		switch {
+		case ctx.Err() != nil:
+			return over
+		case status == http.StatusGone:
+			return away
+		case status == http.StatusOK:
+			fails = 0
+		case status == http.StatusForbidden && suggest != hint: // a rung lower: the manifest is asked for again below
+		default:
+			if fails++; fails >= 2 {
+				return stalled
+			}
+			continue
+		}
+		if suggest != hint && hint != "" || status == http.StatusForbidden {
+			again := p.ask(ctx, v, at, m.Location, res.play, false, false)
+			switch {
+			case again.status != http.StatusOK:
+				return stalled
+			case again.play != res.play: // the front had placed it anew
+				*res = again
+			default:
+				res.manifest = again.manifest
+			}
+		}
+		hint = suggest
+		select {
+		case <-time.After(every):
+		case <-ctx.Done():
+			return over
+		}
+	}
+	return over
+}
+
+// fetch fetches one segment and returns the rate that the node suggests.
+func (p *Players) fetch(ctx context.Context, target string, patience time.Duration) (status int, suggest string) {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return 0, ""
+	}
+	resp, err := p.Client.Do(req)
+	if err == nil {
+		defer resp.Body.Close()
+		_, err = io.Copy(io.Discard, io.LimitReader(resp.Body, 1<<20))
+	}
+	if err != nil {
+		if !errors.Is(err, context.Canceled) {
+			p.Seen.add(func(s *Seen) { s.Failed++ })
+		}
+		return 0, ""
+	}
+	share, _ := strconv.ParseFloat(resp.Header.Get(ShareHeader), 64)
+	p.Seen.add(func(s *Seen) {
+		if resp.StatusCode == http.StatusOK {
+			s.Segments++
+			if share < 0.98 {
+				s.Short++
+			}
+		}
+	})
+	return resp.StatusCode, resp.Header.Get(suggested)
+}
+
+// leave tells the front that the viewer is done.
+func (p *Players) leave(ctx context.Context, location string) {
+	u, err := url.Parse(location)
+	if err != nil {
+		return
+	}
+	u.Path = strings.TrimSuffix(u.Path, "/manifest.mpd")
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, u.String(), nil)
+	if err != nil {
+		return
+	}
+	if resp, err := p.Client.Do(req); err == nil {
+		resp.Body.Close()
+	}
+}
+
+func (v *Viewer) String() string {
+	return fmt.Sprintf("%s wants %s of %s", v.Name, v.Title, v.Product.Name)
+}
--- /dev/null
+++ b/lab/rehearse.go
@@ -0,0 +1,524 @@
+package lab
+
+import (
+	"context"
+	"encoding/base64"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"gullrail/conf"
+	"gullrail/lab/audit"
+	"gullrail/lab/tape"
+	"gullrail/nodes"
+	"gullrail/serve"
+)
+
+// Rehearsal runs a day: fronts as processes of their own, stand-in nodes, the list service and viewers in
+// this one, all on loopback.
+type Rehearsal struct {
+	Day     *Day
+	Program string // the gullrail that serves
+	Folder  string // for the fronts' settings and logs
+	Say     func(format string, args ...any)
+
+	tape     *tape.Tape
+	fleet    *Fleet
+	registry *Registry
+	rnd      *rand.Rand
+	fronts   []*frontProcess
+	byNumber []*Node
+	all      []*Node
+	crowd    map[string]float64
+	mu       sync.Mutex // of crowd
+	wg       sync.WaitGroup
+}
+
+// frontProcess is one front end, in as many lives as the script gives it.
+type frontProcess struct {
+	name, file, log, addr string
+	mu                    sync.Mutex
+	cmd                   *exec.Cmd
+}
+
+// Outcome is what a rehearsal came to.
+type Outcome struct {
+	Report *audit.Report
+	Lines  []tape.Line
+	Short  float64 // share of segments delivered short
+	Took   time.Duration
+}
+
+// freePort finds an address that is free now.
+func freePort() (string, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	return l.Addr().String(), nil
+}
+
+// Run runs the day to its end, or to that of the context. All that it started has ended when it returns.
+func (r *Rehearsal) Run(ctx context.Context) (out *Outcome, err error) {
+	began := time.Now()
+	d := r.Day
+	r.tape = tape.New()
+	r.rnd = rand.New(rand.NewPCG(d.Seed, 1))
+	r.crowd = map[string]float64{}
+	if r.Say == nil {
+		r.Say = func(string, ...any) {}
+	}
+	keys := []conf.Key{{ID: "rehearsal", Seed: make([]byte, 32), Signs: true}}
+	for i := range keys[0].Seed {
+		keys[0].Seed[i] = byte(r.rnd.UintN(256))
+	}
+	minter, err := serve.Minter(keys)
+	if err != nil {
+		return nil, err
+	}
+	r.fleet = &Fleet{set: &d.Service, check: minter.Checker, tape: r.tape, setUpMs: d.SetUpMs, guard: d.Guard,
+		idle: time.Duration(d.IdleMs) * time.Millisecond, rnd: rand.New(rand.NewPCG(d.Seed, 2)), nodes: map[string]*Node{}}
+	for range d.Service.Racks {
+		given := d.Service.UplinkKB
+		if given <= 0 {
+			given = math.Inf(1)
+		}
+		r.fleet.racks = append(r.fleet.racks, rack{given * r.about(), 1})
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	r.registry = NewRegistry(r.tape, time.Duration(d.ListLateMs)*time.Millisecond)
+	defer func() {
+		cancel()
+		r.wg.Wait()
+		for _, n := range r.all {
+			n.crash(tape.Crash)
+			n.wg.Wait()
+		}
+		if r.registry.server != nil {
+			r.registry.Stop()
+		}
+	}()
+	var lines []nodes.Line
+	for i := range d.Nodes {
+		n, err := r.newNode(fmt.Sprintf("n%d", i), i%d.Service.Cells, i)
+		if err != nil {
+			return nil, err
+		}
+		r.byNumber = append(r.byNumber, n)
+		lines = append(lines, n.line)
+		if err := n.start(false); err != nil {
+			return nil, err
+		}
+	}
+	r.registry.Set(lines...)
+	addr, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	if err := r.registry.Start(addr); err != nil {
+		return nil, err
+	}
+	defer func() {
+		for _, f := range r.fronts {
+			if e := f.stop(); e != nil && err == nil {
+				err = e
+			}
+		}
+	}()
+	if err := r.startFronts(ctx, keys[0]); err != nil {
+		return nil, err
+	}
+	players := NewPlayers(&d.Service, r.tape)
+	viewers, endViewers := context.WithCancel(ctx)
+	defer endViewers()
+	start := time.Now()
+	for _, f := range d.Faults {
+		r.wg.Add(1)
+		go func() { defer r.wg.Done(); r.inject(ctx, start, f) }()
+	}
+	r.arrive(viewers, start, players)
+	longest := 0.0
+	for _, p := range d.Service.Products {
+		longest = max(longest, p.LimitMs)
+	}
+	select { // what was asked last is still to be answered
+	case <-time.After(time.Duration(longest)*time.Millisecond + time.Second):
+	case <-ctx.Done():
+	}
+	lined := r.tape.Lines()
+	endViewers()
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("rehearsal: %w", context.Cause(ctx))
+	}
+	out = &Outcome{Report: audit.Check(&d.Service, lined), Lines: lined, Took: time.Since(began)}
+	players.Seen.mu.Lock()
+	out.Short = float64(players.Seen.Short) / max(1, float64(players.Seen.Segments))
+	players.Seen.mu.Unlock()
+	return out, nil
+}
+
+// about draws a factor around 1, by the day's unevenness.
+func (r *Rehearsal) about() float64 { return 1 + r.Day.Uneven*(2*r.rnd.Float64()-1) }
+
+func (r *Rehearsal) newNode(name string, cell, i int) (*Node, error) {
+	addr, err := freePort()
+	if err != nil {
+		return nil, err
+	}
+	set := &r.Day.Service
+	n := &Node{fleet: r.fleet, cell: cell, given: set.WeightKB * r.about(), slow: 1, line: nodes.Line{Name: name,
+		Address: addr, Phase: "ready", Kind: set.Kinds[i%len(set.Kinds)].Name, Zone: set.Zones[i%len(set.Zones)],
+		Cell: cell, Weight: 1}}
+	r.fleet.mu.Lock()
+	r.fleet.nodes[name] = n
+	r.fleet.mu.Unlock()
+	r.all = append(r.all, n)
+	return n, nil
+}
+
+// ---- Fronts ----
+
+func (r *Rehearsal) startFronts(ctx context.Context, key conf.Key) error {
+	d := r.Day
+	for i := range d.Service.Fronts {
+		addr, err := freePort()
+		if err != nil {
+			return err
+		}
+		f := &frontProcess{name: fmt.Sprintf("f%d", i), addr: addr, file: filepath.Join(r.Folder, fmt.Sprintf("front-%d.jsonc", i)),
+			log: filepath.Join(r.Folder, fmt.Sprintf("front-%d.log", i))}
+		own, err := json.Marshal(map[string]any{"name": f.name, "number": i, "zone": d.Service.Zones[i%len(d.Service.Zones)],
+			"listen": addr, "seed": d.Seed})
+		if err != nil {
+			return err
+		}
+		text := fmt.Sprintf("{\n\"front\": %s,\n\"list\": {\"url\": \"http://%s/v1/list\"},\n\"keys\": [{\"id\": %q, \"seed\": %q, \"signs\": true}],\n\"service\": %s\n}\n",
+			own, r.registry.addr, key.ID, base64.StdEncoding.EncodeToString(key.Seed), d.RawService)
+		if err := os.WriteFile(f.file, []byte(text), 0o600); err != nil {
+			return fmt.Errorf("rehearsal: %w", err)
+		}
+		r.fronts = append(r.fronts, f)
+		if err := f.start(r.Program); err != nil {
+			return err
+		}
+	}
+	for _, f := range r.fronts {
+		if err := f.awaitReady(ctx, 20*time.Second); err != nil {
+			return err
+		}
+		r.tape.Add(tape.Line{What: tape.Up, Front: f.name})
+	}
+	return nil
+}
+
+func (f *frontProcess) start(program string) error {
+	log, err := os.OpenFile(f.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("rehearsal: %w", err)
+	}
+	defer log.Close()
+	cmd := exec.Command(program, "serve", f.file)
+	cmd.Stdout, cmd.Stderr = log, log
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("front %s: %w", f.name, err)
+	}
+	f.mu.Lock()
+	f.cmd = cmd
+	f.mu.Unlock()
+	return nil
+}
+
+func (f *frontProcess) awaitReady(ctx context.Context, patience time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, patience)
+	defer cancel()
+	for {
+		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.addr+"/readyz", nil)
+		if resp, err := http.DefaultClient.Do(req); err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-time.After(30 * time.Millisecond):
+		case <-ctx.Done():
+			return fmt.Errorf("front %s does not get ready, see %s", f.name, f.log)
+		}
+	}
+}
+
+func (f *frontProcess) signal(s os.Signal) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cmd != nil {
+		f.cmd.Process.Signal(s)
+	}
+}
+
+// kill ends the process as a crash does.
+func (f *frontProcess) kill() {
+	f.mu.Lock()
+	cmd := f.cmd
+	f.cmd = nil
+	f.mu.Unlock()
+	if cmd != nil {
+		cmd.Process.Kill()
+		cmd.Wait()
+	}
+}
+
+// stop ends the process in order, and at once if it takes too long.
+func (f *frontProcess) stop() error {
+	f.mu.Lock()
+	cmd := f.cmd
+	f.cmd = nil
+	f.mu.Unlock()
+	if cmd == nil {
+		return nil
+	}
+	cmd.Process.Signal(syscall.SIGCONT)
+	cmd.Process.Signal(syscall.SIGTERM)
+	late := time.AfterFunc(15*time.Second, func() { cmd.Process.Kill() })
+	defer late.Stop()
+	if err := cmd.Wait(); err != nil {
+		var exit *exec.ExitError
+		if errors.As(err, &exit) {
+			return fmt.Errorf("front %s ended with %s, see %s", f.name, exit, f.log)
+		}
+		return err
+	}
+	return nil
+}
+
+// ---- Viewers ----
+
+// arrive lets viewers come until the day is over; they don't wait for each other.
+func (r *Rehearsal) arrive(ctx context.Context, start time.Time, players *Players) {
+	d := r.Day
+	rnd := rand.New(rand.NewPCG(d.Seed, 3))
+	weights := make([]float64, len(d.Service.Titles))
+	sum := 0.0
+	for i := range weights {
+		weights[i] = 1 / math.Pow(float64(i+1), d.Zipf)
+		sum += weights[i]
+	}
+	at := 0.0
+	for n := 0; ; n++ {
+		if d.Rate <= 0 {
+			return
+		}
+		at += rnd.ExpFloat64() / d.Rate
+		if at >= d.Seconds {
+			break
+		}
+		v := &Viewer{Name: fmt.Sprintf("v%d", n), Tries: d.Tries, Pause: time.Duration(d.PauseMs) * time.Millisecond,
+			Honours: rnd.Float64() < d.Honours, Top: len(d.Service.RatesKB) - 1, Chance: rand.New(rand.NewPCG(d.Seed, uint64(n)+10))}
+		pick := rnd.Float64()
+		for _, p := range d.Products {
+			v.Product = &d.Service.Products[p.Number]
+			v.Watch = time.Duration((p.Watch[0] + rnd.Float64()*(p.Watch[1]-p.Watch[0])) * float64(time.Second))
+			if pick -= p.Share; pick < 0 {
+				break
+			}
+		}
+		if rnd.Float64() < d.Small {
+			v.Top = max(v.Product.Floor, v.Top-1-rnd.IntN(2))
+		}
+		x := rnd.Float64() * sum
+		for i, w := range weights {
+			v.Title = d.Service.Titles[i].Name
+			if x -= w; x < 0 {
+				break
+			}
+		}
+		first, drawn := rnd.IntN(len(r.fronts)), rnd.Float64()
+		for i := range r.fronts {
+			f := r.fronts[(first+i)%len(r.fronts)]
+			v.Fronts, v.Names = append(v.Fronts, f.addr), append(v.Names, f.name)
+		}
+		select {
+		case <-time.After(time.Until(start.Add(time.Duration(at * float64(time.Second))))):
+		case <-ctx.Done():
+			return
+		}
+		r.mu.Lock()
+		for _, t := range d.Service.Titles {
+			if share := r.crowd[t.Name]; drawn < share {
+				v.Title = t.Name
+			}
+		}
+		r.mu.Unlock()
+		r.wg.Add(1)
+		go func() { defer r.wg.Done(); players.Watch(ctx, v) }()
+	}
+	select {
+	case <-time.After(time.Until(start.Add(time.Duration(d.Seconds * float64(time.Second))))):
+	case <-ctx.Done():
+	}
+}
+
+// ---- Faults ----
+
+func wait(ctx context.Context, seconds float64) bool {
+	select {
+	case <-time.After(time.Duration(seconds * float64(time.Second))):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// inject does one fault of the script at its time, and undoes it.
+func (r *Rehearsal) inject(ctx context.Context, start time.Time, f Fault) {
+	if !wait(ctx, f.At-time.Since(start).Seconds()) {
+		return
+	}
+	r.Say("%5.1f s  %s", time.Since(start).Seconds(), f)
+	r.tape.Add(tape.Line{What: tape.Fault, Note: f.String()})
+	var all sync.WaitGroup
+	defer all.Wait()
+	each := func(do func(n *Node)) {
+		for _, i := range f.Nodes {
+			all.Add(1)
+			go func() { defer all.Done(); do(r.byNumber[i]) }()
+		}
+	}
+	set := func(at func(n *Node) *float64, usual float64) {
+		each(func(n *Node) {
+			r.change(func() { *at(n) = f.Amount })
+			if f.For > 0 && wait(ctx, f.For) {
+				r.change(func() { *at(n) = usual })
+			}
+		})
+	}
+	switch f.Do {
+	case "drain":
+		each(func(n *Node) { r.drain(ctx, n, f) })
+	case "crash":
+		each(func(n *Node) {
+			n.crash(tape.Crash)
+			if f.For > 0 && wait(ctx, f.For) {
+				r.back(n)
+			}
+		})
+	case "silence":
+		each(func(n *Node) {
+			end := n.hush()
+			wait(ctx, f.For)
+			end()
+		})
+	case "slow":
+		set(func(n *Node) *float64 { return &n.slow }, 1)
+	case "errors":
+		set(func(n *Node) *float64 { return &n.errors }, 0)
+	case "vanish":
+		set(func(n *Node) *float64 { return &n.vanish }, 0)
+	case "neighbour":
+		set(func(n *Node) *float64 { return &n.taken }, 0)
+	case "uplink":
+		r.change(func() { r.fleet.racks[f.Rack].divided = max(0.001, f.Amount) })
+		if f.For > 0 && wait(ctx, f.For) {
+			r.change(func() { r.fleet.racks[f.Rack].divided = 1 })
+		}
+	case "list-down":
+		r.registry.Stop()
+		if f.For > 0 && wait(ctx, f.For) {
+			if err := r.registry.Start(r.registry.addr); err != nil {
+				r.Say("list service: %v", err)
+			}
+		}
+	case "list-late":
+		usual := time.Duration(r.Day.ListLateMs) * time.Millisecond
+		r.registry.Late(usual + time.Duration(f.Amount*float64(time.Second)))
+		if f.For > 0 && wait(ctx, f.For) {
+			r.registry.Late(usual)
+		}
+	case "crowd":
+		r.mu.Lock()
+		r.crowd[f.Title] = f.Amount
+		r.mu.Unlock()
+		if f.For > 0 && wait(ctx, f.For) {
+			r.mu.Lock()
+			delete(r.crowd, f.Title)
+			r.mu.Unlock()
+		}
+	case "front-kill":
+		p := r.fronts[f.Front]
+		p.kill()
+		r.tape.Add(tape.Line{What: tape.Killed, Front: p.name})
+		if f.For > 0 && wait(ctx, f.For) {
+			if err := p.start(r.Program); err != nil {
+				r.Say("%v", err)
+				return
+			}
+			if err := p.awaitReady(ctx, 20*time.Second); err != nil {
+				r.Say("%v", err)
+				return
+			}
+			r.tape.Add(tape.Line{What: tape.Up, Front: p.name})
+		}
+	case "front-stall":
+		p := r.fronts[f.Front]
+		p.signal(syscall.SIGSTOP)
+		wait(ctx, f.For)
+		p.signal(syscall.SIGCONT)
+	}
+}
+
+func (r *Rehearsal) change(do func()) {
+	r.fleet.mu.Lock()
+	do()
+	r.fleet.mu.Unlock()
+}
+
+// drain takes a node out as a deploy does: the list says draining, Amount seconds later the process ends,
+// and For seconds after that a successor comes up cold in its cell, under a name of its own.
+func (r *Rehearsal) drain(ctx context.Context, n *Node, f Fault) {
+	line := n.line
+	line.Phase = "draining"
+	r.change(func() { n.draining = true })
+	r.registry.Set(line)
+	if !wait(ctx, f.Amount) {
+		return
+	}
+	n.crash(tape.Crash)
+	line.Phase = "gone"
+	r.registry.Set(line)
+	if f.For <= 0 || !wait(ctx, f.For) {
+		return
+	}
+	r.mu.Lock()
+	name, _, _ := strings.Cut(n.line.Name, "x")
+	m, err := r.newNode(name+"x"+fmt.Sprint(len(r.all)), n.cell, 0)
+	r.mu.Unlock()
+	if err == nil {
+		r.back(m)
+	} else {
+		r.Say("%v", err)
+	}
+}
+
+// back starts a node cold and tells the list service.
+func (r *Rehearsal) back(n *Node) {
+	if err := n.start(true); err != nil {
+		r.Say("%v", err)
+		return
+	}
+	r.fleet.mu.Lock()
+	n.line.StartedMs = time.Now().UnixMilli()
+	line := n.line
+	r.fleet.mu.Unlock()
+	r.registry.Set(line)
+}
--- /dev/null
+++ b/lab/tape/tape.go
@@ -0,0 +1,110 @@
+// Package tape records what passed on the sockets of stand-in nodes, the list service and simulated
+// players, by one monotonic clock.
+package tape
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+)
+
+// What a Line tells of.
+const (
+	Ask      = "ask"      // a player sent a request: ID, Front, Viewer, Product, Title, LimitMs, Play it had before
+	Answer   = "answer"   // it was answered: ID, Status, Play; Status 0 is no answer, Note says why
+	Gone     = "gone"     // the player went away before an answer: ID
+	SetUp    = "setup"    // a node received a set-up: Node, Front, Play, Try, Product, Title, Rung
+	Started  = "started"  // and answered that it plays
+	Refused  = "refused"  // or that it never ran
+	Errored  = "errored"  // or that it failed
+	Dropped  = "dropped"  // or the front closed the connection first
+	Rung     = "rung"     // a node received a new rung: Node, Front, Play, Product, Rung
+	End      = "end"      // a node received the word to end a play: Node, Front, Play, Try
+	Ended    = "ended"    // a node ended a play by itself: Node, Front, Play
+	Served   = "served"   // a node sent a segment: Node, Play, Rung
+	Life     = "life"     // a node's process began: Node; Note is cold or warm
+	Crash    = "crash"    // and ended: Node
+	Fell     = "fell"     // a cold node was pushed over: Node
+	Told     = "told"     // the list service told a front: Front, Node, Note is the phase
+	Killed   = "killed"   // a front was killed: Front
+	Up       = "up"       // a front's process was started: Front
+	Fault    = "fault"    // the script did something: Note
+	Unstream = "unstream" // a node lost or closed the stream to a front: Node, Front
+)
+
+// Line is one thing that passed. T is in microseconds since the tape began.
+type Line struct {
+	T       int64  `json:"t"`
+	What    string `json:"what"`
+	ID      int64  `json:"id,omitempty"`
+	Front   string `json:"front,omitempty"`
+	Node    string `json:"node,omitempty"`
+	Play    string `json:"play,omitempty"`
+	Try     int    `json:"try,omitempty"`
+	Viewer  string `json:"viewer,omitempty"`
+	Product string `json:"product,omitempty"`
+	Title   string `json:"title,omitempty"`
+	Rung    int    `json:"rung,omitempty"`
+	LimitMs int64  `json:"limit_ms,omitempty"`
+	First   bool   `json:"first,omitempty"` // of an Ask: the viewer's first try
+	Status  int    `json:"status,omitempty"`
+	Note    string `json:"note,omitempty"`
+}
+
+// Tape collects lines of many goroutines in the order of their times.
+type Tape struct {
+	began time.Time
+	mu    sync.Mutex
+	lines []Line
+}
+
+// New starts a tape and its clock.
+func New() *Tape { return &Tape{began: time.Now()} }
+
+// Now is the tape's clock.
+func (t *Tape) Now() time.Duration { return time.Since(t.began) }
+
+// Add records a line, with its time.
+func (t *Tape) Add(l Line) {
+	t.mu.Lock()
+	l.T = time.Since(t.began).Microseconds()
+	t.lines = append(t.lines, l)
+	t.mu.Unlock()
+}
+
+// Lines is a copy of what was recorded.
+func (t *Tape) Lines() []Line {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return append([]Line(nil), t.lines...)
+}
+
+// Write writes lines as JSON, one a line.
+func Write(w io.Writer, lines []Line) error {
+	out := bufio.NewWriter(w)
+	enc := json.NewEncoder(out)
+	for i := range lines {
+		if err := enc.Encode(&lines[i]); err != nil {
+			return fmt.Errorf("tape: %w", err)
+		}
+	}
+	return out.Flush()
+}
+
+// Read reads what Write wrote.
+func Read(r io.Reader) ([]Line, error) {
+	var lines []Line
+	in := bufio.NewScanner(r)
+	in.Buffer(nil, 1<<20)
+	for n := 1; in.Scan(); n++ {
+		var l Line
+		if err := json.Unmarshal(in.Bytes(), &l); err != nil {
+			return nil, fmt.Errorf("tape: line %d: %w", n, err)
+		}
+		lines = append(lines, l)
+	}
+	return lines, in.Err()
+}
--- /dev/null
+++ b/nodes/client.go
@@ -0,0 +1,418 @@
+package nodes
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"os"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gullrail/front"
+	"gullrail/pulse"
+	"gullrail/session"
+)
+
+const (
+	lineMost   = 4 << 20  // bytes of a note: a hello with some ten thousand plays
+	bodyMost   = 64 << 10 // bytes of an answer that are read
+	callsAtOne = 512      // rungs and ends under way at once; more wait their turn
+)
+
+// Catalogue names what the core numbers: products, and where a title lies.
+type Catalogue interface {
+	Product(number int) string
+	ProductNumber(name string) (int, bool)
+	Title(name string) (home, copies int, ok bool)
+}
+
+// Client carries out the core's orders towards playout nodes: it is the core's session.Carrier. All
+// its goroutines end when Close returns.
+type Client struct {
+	name    string
+	epoch   int64
+	report  bool // load reports come in answers to set-ups too
+	names   Catalogue
+	runner  *session.Runner
+	log     zerolog.Logger
+	calls   http.Client // rungs, ends and probes, which may be repeated without harm
+	streams http.Client
+	slots   chan struct{}
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+
+	mu      sync.Mutex
+	setUps  map[session.Ref]context.CancelCauseFunc
+	dialled map[int]*dial
+}
+
+// dial is one stream, wanted or open.
+type dial struct{ cancel context.CancelFunc }
+
+var errRecalled = errors.New("recalled")
+
+// NewClient makes a client for one life of a front.
+func NewClient(name string, epoch int64, report bool, names Catalogue, r *session.Runner, log zerolog.Logger) *Client {
+	ctx, cancel := context.WithCancel(context.Background())
+	dialer := &net.Dialer{Timeout: session.Duration(pulse.ConnectFor)}
+	return &Client{name: name, epoch: epoch, report: report, names: names, runner: r, log: log,
+		calls: http.Client{Timeout: session.Duration(pulse.CallFor), Transport: &http.Transport{
+			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 15 * time.Second}},
+		streams: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true,
+			ResponseHeaderTimeout: session.Duration(pulse.CallFor)}},
+		slots: make(chan struct{}, callsAtOne), ctx: ctx, cancel: cancel,
+		setUps: map[session.Ref]context.CancelCauseFunc{}, dialled: map[int]*dial{}}
+}
+
+// Close ends all that is under way and waits for it.
+func (c *Client) Close() {
+	c.cancel()
+	c.wg.Wait()
+	c.calls.CloseIdleConnections()
+	c.streams.CloseIdleConnections()
+}
+
+func (c *Client) spawn(f func()) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		f()
+	}()
+}
+
+// ---- Set-ups ----
+
+// SetUp sends one set-up and tells the core how it went.
+func (c *Client) SetUp(a session.Allocation) {
+	ctx, cancel := context.WithCancelCause(c.ctx)
+	c.mu.Lock()
+	c.setUps[a.Ref] = cancel
+	c.mu.Unlock()
+	c.spawn(func() {
+		until := time.Now().Add(session.Duration(a.Until - c.runner.Clock().Now()))
+		started, how, load := c.exchange(ctx, a, until)
+		cancel(nil)
+		c.mu.Lock()
+		delete(c.setUps, a.Ref)
+		c.mu.Unlock()
+		if how == front.Served {
+			c.runner.Tell(func(now int64, core *session.Core) {
+				core.Started(now, a.Ref, started.Life, started.Mark, started.Rung, load)
+			})
+			return
+		}
+		c.log.Debug().Str("play", a.Play).Int("try", a.Try).Str("node", a.Address).Uint8("ending", uint8(how)).Msg("set-up ended")
+		c.runner.Tell(func(now int64, core *session.Core) { core.SetUpEnded(now, a.Ref, how, load) })
+		if how == front.NoAnswer || how == front.CalledOff || how == front.Lost || how == front.Errored {
+			c.End(a.Ref, a.Address, "given up") // it may have run: what still does is to end
+		}
+	})
+}
+
+// Recall stops waiting for a set-up.
+func (c *Client) Recall(r session.Ref) {
+	c.mu.Lock()
+	cancel := c.setUps[r]
+	c.mu.Unlock()
+	if cancel != nil {
+		cancel(errRecalled)
+	}
+}
+
+// exchange is one request and its answer on a connection of its own, written by one Write. Until a
+// byte of it is out, nothing can have run; from then on only the node's own word says so.
+func (c *Client) exchange(ctx context.Context, a session.Allocation, until time.Time) (Started, front.Ending, front.Load) {
+	request, err := c.request(a, until)
+	if err != nil {
+		c.log.Error().Err(err).Str("play", a.Play).Msg("set-up not sent")
+		return Started{}, front.NotSent, front.Untold
+	}
+	dialer := net.Dialer{Timeout: session.Duration(pulse.ConnectFor), Deadline: until}
+	conn, err := dialer.DialContext(ctx, "tcp", a.Address)
+	if err != nil {
+		if ctx.Err() != nil {
+			return Started{}, front.NotSent, front.Untold
+		}
+		return Started{}, front.NoConnect, front.Untold
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	conn.SetDeadline(until)
+	if ctx.Err() != nil {
+		return Started{}, front.NotSent, front.Untold
+	}
+	if n, err := conn.Write(request); err != nil && n == 0 {
+		return Started{}, front.NoConnect, front.Untold
+	} else if err != nil {
+		return Started{}, broken(ctx, err), front.Untold
+	}
+	in := bufio.NewReader(io.LimitReader(conn, 2*bodyMost))
+	resp, err := http.ReadResponse(in, nil)
+	if err != nil {
+		return Started{}, broken(ctx, err), front.Untold
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, bodyMost))
+	if err != nil {
+		return Started{}, broken(ctx, err), front.Untold
+	}
+	load := front.Untold
+	if c.report {
+		load = ParseLoad(resp.Header.Get(LoadHeader))
+	}
+	if resp.StatusCode == http.StatusCreated {
+		var s Started
+		if err := json.Unmarshal(body, &s); err != nil || s.Life <= 0 {
+			return Started{}, front.Errored, load
+		}
+		return s, front.Served, load
+	}
+	var refusal Refusal
+	if json.Unmarshal(body, &refusal) == nil && refusal.NeverRan && resp.StatusCode >= 400 {
+		return Started{}, front.TurnedAway, load
+	}
+	return Started{}, front.Errored, load
+}
+
+// broken is how a set-up ended whose request was, at least in part, written.
+func broken(ctx context.Context, err error) front.Ending {
+	switch {
+	case ctx.Err() != nil:
+		return front.CalledOff
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return front.NoAnswer
+	}
+	return front.Lost
+}
+
+func (c *Client) request(a session.Allocation, until time.Time) ([]byte, error) {
+	body, err := json.Marshal(SetUp{Front: c.name, Epoch: c.epoch, Try: a.Try, Product: c.names.Product(a.Product),
+		Title: a.Title, Viewer: a.Viewer, Rung: a.Rung, Top: a.Top, Seq: a.Seq,
+		UntilMs: time.Until(until).Milliseconds(), LengthMs: a.Length / front.Ms})
+	if err != nil {
+		return nil, fmt.Errorf("encoding a set-up: %w", err)
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+a.Address+"/v1/plays/"+url.PathEscape(a.Play), bytes.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("set-up for %s: %w", a.Address, err)
+	}
+	req.Close = true
+	req.Header.Set("Content-Type", "application/json")
+	var out bytes.Buffer
+	if err := req.Write(&out); err != nil {
+		return nil, fmt.Errorf("encoding a set-up: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+// ---- Calls that may be repeated ----
+
+// SetRung tells a node the rung of a play. What is lost is made good by the next, as numbers tell
+// their order.
+func (c *Client) SetRung(r session.Ref, address string, rung, seq int) {
+	body, _ := json.Marshal(SetRung{Front: c.name, Epoch: c.epoch, Try: r.Try, Rung: rung, Seq: seq})
+	c.repeat(http.MethodPut, "http://"+address+"/v1/plays/"+url.PathEscape(r.Play)+"/rung", body, r)
+}
+
+// End tells a node to end an allocation, whether it started or not.
+func (c *Client) End(r session.Ref, address, why string) {
+	q := url.Values{"front": {c.name}, "epoch": {strconv.FormatInt(c.epoch, 10)}, "try": {strconv.Itoa(r.Try)}, "why": {why}}
+	c.repeat(http.MethodDelete, "http://"+address+"/v1/plays/"+url.PathEscape(r.Play)+"?"+q.Encode(), nil, r)
+}
+
+// repeat makes a call that is safe to repeat, up to pulse.CallTries times. A node that hears none of
+// them is asked for its plays when its stream is back, and what it shouldn't run is ended then.
+func (c *Client) repeat(method, target string, body []byte, r session.Ref) {
+	c.spawn(func() {
+		select {
+		case c.slots <- struct{}{}:
+			defer func() { <-c.slots }()
+		case <-c.ctx.Done():
+			return
+		}
+		var err error
+		for try := range pulse.CallTries {
+			if err = c.call(method, target, body); err == nil || errors.Is(err, syscall.ECONNREFUSED) {
+				return
+			}
+			select {
+			case <-time.After(session.Duration(pulse.CallPause(try))):
+			case <-c.ctx.Done():
+				return
+			}
+		}
+		c.log.Warn().Err(err).Str("play", r.Play).Int("try", r.Try).Str("method", method).Msg("node did not take a call")
+	})
+}
+
+func (c *Client) call(method, target string, body []byte) error {
+	req, err := http.NewRequestWithContext(c.ctx, method, target, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := c.calls.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(resp.Body, bodyMost))
+	if resp.StatusCode >= 500 {
+		return fmt.Errorf("%s", resp.Status)
+	}
+	return nil // also where the node knows no such play: there is nothing left to do
+}
+
+// Probe asks a node for its load.
+func (c *Client) Probe(node int, address string) {
+	c.spawn(func() {
+		ctx, cancel := context.WithTimeout(c.ctx, session.Duration(pulse.ProbeFor))
+		defer cancel()
+		how, load := c.probe(ctx, address)
+		c.runner.Tell(func(now int64, core *session.Core) { core.Probed(now, node, how, load) })
+	})
+}
+
+func (c *Client) probe(ctx context.Context, address string) (front.Ending, front.Load) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	if err != nil {
+		return front.NotSent, front.Untold
+	}
+	resp, err := c.calls.Do(req)
+	switch {
+	case ctx.Err() != nil:
+		return front.NoAnswer, front.Untold
+	case err != nil:
+		return front.NoConnect, front.Untold
+	}
+	defer resp.Body.Close()
+	io.Copy(io.Discard, io.LimitReader(resp.Body, bodyMost))
+	if resp.StatusCode != http.StatusOK {
+		return front.Errored, front.Untold
+	}
+	return front.Served, ParseLoad(resp.Header.Get(LoadHeader))
+}
+
+// ---- Streams ----
+
+// Dial opens the stream from a node at a time of the front's clock, in place of any before it.
+func (c *Client) Dial(node int, address string, at int64) {
+	ctx, cancel := context.WithCancel(c.ctx)
+	d := &dial{cancel}
+	c.mu.Lock()
+	if old := c.dialled[node]; old != nil {
+		old.cancel()
+	}
+	c.dialled[node] = d
+	c.mu.Unlock()
+	c.spawn(func() {
+		defer cancel()
+		wait := time.NewTimer(session.Duration(at - c.runner.Clock().Now()))
+		defer wait.Stop()
+		select {
+		case <-wait.C:
+		case <-ctx.Done():
+		}
+		var err error
+		if ctx.Err() == nil {
+			err = c.stream(ctx, node, address)
+		}
+		c.mu.Lock()
+		current := c.dialled[node] == d
+		if current {
+			delete(c.dialled, node)
+		}
+		c.mu.Unlock()
+		if current && c.ctx.Err() == nil {
+			gone := errors.Is(err, syscall.ECONNREFUSED)
+			c.log.Debug().Err(err).Str("node", address).Bool("gone", gone).Msg("stream ended")
+			c.runner.Tell(func(now int64, core *session.Core) { core.StreamBroke(now, node, gone) })
+		}
+	})
+}
+
+// Hangup closes the stream from a node.
+func (c *Client) Hangup(node int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if d := c.dialled[node]; d != nil {
+		d.cancel()
+	}
+}
+
+// stream reads a node's notes until the stream ends.
+func (c *Client) stream(ctx context.Context, node int, address string) error {
+	q := url.Values{"front": {c.name}, "epoch": {strconv.FormatInt(c.epoch, 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/stream?"+q.Encode(), nil)
+	if err != nil {
+		return err
+	}
+	resp, err := c.streams.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("stream from %s: %s", address, resp.Status)
+	}
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, lineMost)
+	met := false
+	for lines.Scan() {
+		n, err := ParseNote(lines.Bytes())
+		if err != nil {
+			return fmt.Errorf("stream from %s: %w", address, err)
+		}
+		if met == (n.Kind == Hello) {
+			return fmt.Errorf("stream from %s: hello comes first and once", address)
+		}
+		met = true
+		c.note(node, n)
+	}
+	return lines.Err()
+}
+
+// note tells the core what a note says.
+func (c *Client) note(node int, n Note) {
+	ref := session.Ref{Play: n.Play, Try: n.Try, Node: node}
+	switch n.Kind {
+	case Hello:
+		runs := make([]session.Running, len(n.Plays))
+		for i, p := range n.Plays {
+			product, ok := c.names.ProductNumber(p.Product)
+			home, copies, known := c.names.Title(p.Title)
+			if !ok || !known {
+				product = -1
+			}
+			runs[i] = session.Running{Play: p.Play, Epoch: p.Epoch, Try: p.Try, Product: product, Title: p.Title,
+				Home: home, Copies: copies, Viewer: p.Viewer, Rung: p.Rung, Seq: p.Seq, Top: p.Top, Left: p.LeftMs * front.Ms}
+		}
+		c.runner.Tell(func(now int64, core *session.Core) { core.Hello(now, node, n.Life, n.Mark, runs) })
+	case Beat:
+		c.runner.Tell(func(now int64, core *session.Core) { core.Heard(now, node) })
+	case Ended:
+		how := front.Served
+		if n.How == Lost {
+			how = front.Lost
+		}
+		c.runner.Tell(func(now int64, core *session.Core) { core.Heard(now, node); core.PlayEnded(now, ref, how) })
+	case Share:
+		c.runner.Tell(func(now int64, core *session.Core) { core.Heard(now, node); core.Share(now, ref, n.Share) })
+	case Load:
+		load := front.Load{Streams: -1, Link: n.Link, Uplink: n.Uplink}
+		c.runner.Tell(func(now int64, core *session.Core) { core.Heard(now, node); core.Load(now, ref, load) })
+	}
+}
--- /dev/null
+++ b/nodes/list.go
@@ -0,0 +1,178 @@
+package nodes
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gullrail/conf"
+	"gullrail/front"
+	"gullrail/internal/pcg"
+	"gullrail/pulse"
+	"gullrail/session"
+)
+
+// Line is one playout node in the list service's stream.
+type Line struct {
+	Name      string  `json:"name"`
+	Address   string  `json:"address"`
+	Phase     string  `json:"phase"` // ready, draining or gone
+	Kind      string  `json:"kind"`
+	Zone      string  `json:"zone"`
+	Cell      int     `json:"cell"`
+	StartedMs int64   `json:"started_ms"` // Unix time; 0 is long past
+	Weight    float64 `json:"weight"`
+}
+
+// Change is one message of the list service: the whole list, what changed since the version before,
+// or neither, to show that it lives.
+type Change struct {
+	Version int64  `json:"version"`
+	Whole   bool   `json:"whole,omitempty"`
+	Beat    bool   `json:"beat,omitempty"`
+	Nodes   []Line `json:"nodes,omitempty"`
+}
+
+var phases = map[string]front.Phase{"ready": front.Ready, "draining": front.Draining, "gone": front.Gone}
+
+// ParseChange reads a message of the list service into lines as the core knows them.
+func ParseChange(text []byte, set *conf.Service, clock *session.Clock) (Change, []session.Listed, error) {
+	var c Change
+	if err := json.Unmarshal(text, &c); err != nil {
+		return Change{}, nil, fmt.Errorf("list: %w", err)
+	}
+	if c.Version < 0 {
+		return Change{}, nil, fmt.Errorf("list: version %d", c.Version)
+	}
+	lines := make([]session.Listed, 0, len(c.Nodes))
+	for i, n := range c.Nodes {
+		wrong := func(field string, v any) error { return fmt.Errorf("list: nodes[%d].%s: %.60v", i, field, v) }
+		l := session.Listed{Name: n.Name, Address: n.Address, Kind: -1, Zone: -1, Cell: n.Cell, Weight: n.Weight}
+		var ok bool
+		if n.Name == "" {
+			return Change{}, nil, wrong("name", "missing")
+		}
+		if l.Phase, ok = phases[n.Phase]; !ok {
+			return Change{}, nil, wrong("phase", n.Phase)
+		}
+		for k, kind := range set.Kinds {
+			if kind.Name == n.Kind {
+				l.Kind = k
+			}
+		}
+		for k, zone := range set.Zones {
+			if zone == n.Zone {
+				l.Zone = k
+			}
+		}
+		_, _, err := net.SplitHostPort(n.Address)
+		switch {
+		case err != nil:
+			return Change{}, nil, wrong("address", n.Address)
+		case l.Kind < 0:
+			return Change{}, nil, wrong("kind", n.Kind)
+		case l.Zone < 0:
+			return Change{}, nil, wrong("zone", n.Zone)
+		case n.Cell < 0 || n.Cell >= set.Cells:
+			return Change{}, nil, wrong("cell", n.Cell)
+		case math.IsNaN(n.Weight) || n.Weight <= 0 || n.Weight > 1e9:
+			return Change{}, nil, wrong("weight", n.Weight)
+		case n.StartedMs < 0:
+			return Change{}, nil, wrong("started_ms", n.StartedMs)
+		}
+		if n.StartedMs > 0 {
+			l.Started = clock.At(time.UnixMilli(n.StartedMs))
+		}
+		lines = append(lines, l)
+	}
+	return c, lines, nil
+}
+
+// List follows the list service: one stream, resumed by its version, the whole list after a gap. While
+// it is out of reach the last list holds.
+type List struct {
+	Front  string
+	URL    string
+	Set    *conf.Service
+	Runner *session.Runner
+	Log    zerolog.Logger
+	Seed   uint64
+}
+
+// Run follows until the context ends.
+func (l *List) Run(ctx context.Context) error {
+	rnd := pcg.New(l.Seed)
+	version, failures := int64(0), 0
+	for {
+		was := version
+		err := l.follow(ctx, &version)
+		if ctx.Err() != nil {
+			return nil
+		}
+		if version != was {
+			failures = 0
+		}
+		l.Log.Warn().Err(err).Int64("version", version).Msg("list service out of reach; the last list holds")
+		pause := session.Duration(pulse.Pause(failures, rnd.Float()))
+		failures++
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (l *List) follow(ctx context.Context, version *int64) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	q := url.Values{"front": {l.Front}, "since": {strconv.FormatInt(*version, 10)}}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, l.URL+"?"+q.Encode(), nil)
+	if err != nil {
+		return fmt.Errorf("list service: %w", err)
+	}
+	transport := &http.Transport{DisableKeepAlives: true, ResponseHeaderTimeout: session.Duration(pulse.CallFor),
+		DialContext: (&net.Dialer{Timeout: session.Duration(pulse.ConnectFor)}).DialContext}
+	resp, err := (&http.Client{Transport: transport}).Do(req)
+	if err != nil {
+		return fmt.Errorf("list service: %w", err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("list service: %s", resp.Status)
+	}
+	quiet := time.AfterFunc(session.Duration(pulse.SilentFor), cancel) // a dead peer says nothing, not even that
+	defer quiet.Stop()
+	lines := bufio.NewScanner(resp.Body)
+	lines.Buffer(nil, lineMost)
+	for lines.Scan() {
+		quiet.Reset(session.Duration(pulse.SilentFor))
+		c, listed, err := ParseChange(lines.Bytes(), l.Set, l.Runner.Clock())
+		if err != nil {
+			return err
+		}
+		if c.Beat {
+			continue
+		}
+		if !c.Whole && c.Version != *version+1 {
+			have := *version
+			*version = 0
+			return fmt.Errorf("list service: version %d came after %d", c.Version, have)
+		}
+		*version = c.Version
+		l.Runner.Tell(func(now int64, core *session.Core) { core.List(now, listed, c.Whole) })
+	}
+	if err := lines.Err(); err != nil {
+		return fmt.Errorf("list service: %w", err)
+	}
+	return fmt.Errorf("list service: closed the stream")
+}
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -17,10 +17,15 @@
 const (
 	Beat       = 1 * front.Second // a node says something at least this often
 	Lease      = 6 * front.Second // a node keeps the plays of a front that it doesn't hear from so long
-	silentFor  = 3 * Beat         // two lost beats are chance, three are a broken stream
+	SilentFor  = 3 * Beat         // two lost beats are chance, three are a broken stream
 	margin     = 2 * front.Second // over the lease: a beat on its way and a busy machine
 	retryLeast = 100 * front.Ms   // pause before the first dial after a break
 	retryMost  = 2 * front.Second // and at most: well under the lease, so that a short cut ends no play
+	ConnectFor = 250 * front.Ms   // a dial that takes longer failed: a machine on the same site answers in a few
+	ProbeFor   = 250 * front.Ms   // a probe's answer is old after that
+	CallFor    = 1 * front.Second // rungs and ends: a node that takes longer is asked again
+	CallTries  = 3                // then the next word of its stream tells what it runs
+	callPause  = 100 * front.Ms   // before the second try, doubled for the third
 	startLeast = 100 * front.Ms   // a fresh front hears the list at least so long before it takes plays
 	startMost  = Lease + margin   // then what it held before has ended wherever it could not ask
 )
@@ -68,13 +73,13 @@
 // Silent tells that a stream has said nothing for so long that it is to be closed and dialled anew.
 func (w *Watch) Silent(now int64, node int) bool {
 	s := w.of(node)
-	return s.alive && now-s.heardAt > silentFor
+	return s.alive && Quiet(now, s.heardAt)
 }
 
 // Broke says that a stream ended or a dial failed. It returns when to dial next, and whether the
 // plays there have surely ended: gone says that the node's machine refused the connection, so that no
-// process is there to run them. The pause doubles, drawn between half and all of it, so that the
-// fronts of a node that comes back don't all dial at once.
+// process is there to run them. Pause says how the
+// dials are spread.
 func (w *Watch) Broke(now int64, node int, gone bool) (dialAt int64, ended bool) {
 	s := w.of(node)
 	if s.alive || s.failures == 0 && s.brokeAt == 0 {
@@ -84,9 +89,8 @@
 		}
 	}
 	s.alive = false
-	pause := min(retryMost, retryLeast<<min(s.failures, 8))
+	s.dialAt = now + Pause(s.failures, w.rnd.Float())
 	s.failures++
-	s.dialAt = now + pause/2 + int64(w.rnd.Float()*float64(pause/2))
 	if gone {
 		s.met = true
 		ended, s.lost = !s.lost, true
@@ -121,3 +125,17 @@
 	}
 	return w.ready
 }
+
+// Pause is how long to wait before a stream, from a node or from the list service, is dialled again
+// after so many failures in a row: doubling, and drawn between half and all of it by chance, a number
+// from 0 to 1, so that the fronts of one that comes back don't all dial at once.
+func Pause(failures int, chance float64) int64 {
+	pause := min(retryMost, retryLeast<<min(failures, 8))
+	return pause/2 + int64(chance*float64(pause/2))
+}
+
+// Quiet tells that a stream last heard at a time has been silent too long.
+func Quiet(now, heardAt int64) bool { return now-heardAt > SilentFor }
+
+// CallPause is the pause after so many tries of a call that may be repeated.
+func CallPause(tries int) int64 { return callPause << min(tries, CallTries) }
--- a/pulse/pulse_test.go
+++ b/pulse/pulse_test.go
@@ -11,11 +11,11 @@
 func TestSilenceBreaksAStreamAndOnlyTheLeaseEndsItsPlays(t *testing.T) {
 	w := New(now, 1)
 	w.Hello(now, 3)
-	if w.Silent(now+silentFor, 3) || !w.Silent(now+silentFor+1, 3) {
+	if w.Silent(now+SilentFor, 3) || !w.Silent(now+SilentFor+1, 3) {
 		t.Fatal("silence is three beats")
 	}
-	at, ended := w.Broke(now+silentFor+1, 3, false)
-	if ended || at <= now+silentFor || at > now+silentFor+1+retryLeast {
+	at, ended := w.Broke(now+SilentFor+1, 3, false)
+	if ended || at <= now+SilentFor || at > now+SilentFor+1+retryLeast {
 		t.Fatalf("dial at %d, ended %v", at, ended)
 	}
 	if w.Expired(now+Lease+margin-1, 3) {
--- /dev/null
+++ b/serve/serve.go
@@ -0,0 +1,146 @@
+// Package serve puts a front end together from its settings and runs it: the core, the client of the
+// playout nodes, the follower of the list, and the players' side.
+package serve
+
+import (
+	"context"
+	"crypto/ed25519"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+	"golang.org/x/net/netutil"
+	"golang.org/x/sync/errgroup"
+
+	"gullrail/choice"
+	"gullrail/conf"
+	"gullrail/dash"
+	"gullrail/intake"
+	"gullrail/nodes"
+	"gullrail/session"
+	"gullrail/token"
+)
+
+// Front is a front end that listens but does not run yet.
+type Front struct {
+	set    conf.Front
+	log    zerolog.Logger
+	listen net.Listener
+	runner *session.Runner
+	core   *session.Core
+	client *nodes.Client
+	server *http.Server
+}
+
+// Listen makes a front end and opens its socket, so that a port that is taken shows at once. Epoch
+// tells the lives of the front apart: it must be greater than that of any earlier one.
+func Listen(set conf.Front, epoch int64, log zerolog.Logger) (*Front, error) {
+	minter, err := Minter(set.Keys)
+	if err != nil {
+		return nil, err
+	}
+	listen, err := net.Listen("tcp", set.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("front %s: %w", set.Name, err)
+	}
+	listen = netutil.LimitListener(listen, set.Sockets)
+	clock := session.NewClock()
+	seed := set.Seed + uint64(set.Number)*1_000_003 // fronts that share a settings file still draw apart
+	f := &Front{set: set, log: log, listen: listen, runner: session.NewRunner(clock, intake.New(set.Waiting, seed))}
+	service := &f.set.Service
+	f.client = nodes.NewClient(set.Name, epoch, service.Reports == "answers", service, f.runner, log)
+	module := choice.New(service.Terms(set.Number, set.Zone), seed)
+	f.core = session.NewCore(clock.Now(), set.Name, epoch, module, f.client, seed)
+	mux := http.NewServeMux()
+	life := time.Duration(set.TokenMs * float64(time.Millisecond))
+	mux.Handle("/v1/", dash.NewFront(set.Name, service, minter, life, f.runner, log))
+	mux.HandleFunc("GET /readyz", f.ready)
+	f.server = &http.Server{Handler: mux, ReadHeaderTimeout: session.Duration(intake.HeaderFor),
+		IdleTimeout: session.Duration(intake.IdleFor), MaxHeaderBytes: 16 << 10,
+		WriteTimeout: longest(service) + session.Duration(intake.AnswerFor)}
+	return f, nil
+}
+
+func longest(s *conf.Service) (d time.Duration) {
+	for _, p := range s.Products {
+		d = max(d, time.Duration(p.LimitMs*float64(time.Millisecond)))
+	}
+	return d
+}
+
+// Minter makes the minter of session tokens from the keys in the settings.
+func Minter(keys []conf.Key) (*token.Minter, error) {
+	var signing token.Key
+	older := map[string]ed25519.PublicKey{}
+	for _, k := range keys {
+		if k.Signs {
+			signing = token.Key{ID: k.ID, Private: ed25519.NewKeyFromSeed(k.Seed)}
+		} else {
+			older[k.ID] = k.Public
+		}
+	}
+	return token.NewMinter(signing, older)
+}
+
+// Addr is where players reach the front.
+func (f *Front) Addr() string { return f.listen.Addr().String() }
+
+// ready answers 200 once the front may take plays.
+func (f *Front) ready(w http.ResponseWriter, r *http.Request) {
+	got := make(chan bool, 1)
+	f.runner.Tell(func(now int64, c *session.Core) { got <- c.Ready(now) })
+	select {
+	case ok := <-got:
+		if !ok {
+			http.Error(w, "starting", http.StatusServiceUnavailable)
+		}
+	case <-r.Context().Done():
+	}
+}
+
+// Counts asks the running core what it has seen, or returns zeros if the context ends first.
+func (f *Front) Counts(ctx context.Context) session.Counts {
+	got := make(chan session.Counts, 1)
+	f.runner.Tell(func(_ int64, c *session.Core) { got <- c.Counts() })
+	select {
+	case n := <-got:
+		return n
+	case <-ctx.Done():
+		return session.Counts{}
+	}
+}
+
+// Run serves until the context ends: then it takes no more requests, gives the answers that are owed,
+// and returns once nothing of it runs any more.
+func (f *Front) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	inner, stop := context.WithCancel(context.Background()) // outlives ctx until what is owed was answered
+	defer stop()
+	list := &nodes.List{Front: f.set.Name, URL: f.set.ListURL, Set: &f.set.Service, Runner: f.runner, Log: f.log, Seed: f.set.Seed + uint64(f.set.Number)}
+	g.Go(func() error { return f.runner.Run(inner, f.core) })
+	g.Go(func() error { return list.Run(inner) })
+	g.Go(func() error {
+		if err := f.server.Serve(f.listen); !errors.Is(err, http.ErrServerClosed) {
+			return fmt.Errorf("front %s: %w", f.set.Name, err)
+		}
+		return nil
+	})
+	g.Go(func() error {
+		<-ctx.Done()
+		defer stop()
+		owed, cancel := context.WithTimeout(context.Background(), longest(&f.set.Service))
+		defer cancel()
+		if err := f.server.Shutdown(owed); err != nil {
+			f.server.Close()
+		}
+		return nil
+	})
+	f.log.Info().Str("front", f.set.Name).Str("listen", f.Addr()).Msg("front runs")
+	err := g.Wait()
+	f.client.Close()
+	f.log.Info().Str("front", f.set.Name).Msg("front ended")
+	return err
+}
--- /dev/null
+++ b/session/core.go
@@ -0,0 +1,742 @@
+// Package session holds what one front end knows of its plays beside the decisions: which request
+// waits for which answer, where each play runs, which names stand for which small numbers. It tells
+// the module what happens and hands on what the module orders.
+//
+// Core does no I/O, has no clock and no goroutine, so that the same events give the same orders on
+// sockets and in simulated time. Runner puts it on a goroutine of its own behind a bounded queue.
+package session
+
+import (
+	"fmt"
+	"strconv"
+
+	"gullrail/front"
+	"gullrail/pulse"
+)
+
+const (
+	endedKept = 1 << 16            // endings remembered at most: some 30 minutes at 33 plays a second
+	endedFor  = 600 * front.Second // and at longest; an older play's token has expired
+	sweepMost = 64                 // idle numbers looked at in one wake, five times a second
+)
+
+// Ref names an allocation.
+type Ref struct {
+	Play string
+	Try  int
+	Node int
+}
+
+// Allocation is what a node is asked to set up.
+type Allocation struct {
+	Ref
+	Address string
+	Product int
+	Title   string
+	Viewer  string
+	Rung    int
+	Top     int
+	Seq     int   // of the rung; a node keeps to the highest it heard
+	Until   int64 // then it is given up
+	Length  int64 // guessed length; 0 is not told
+}
+
+// Carrier carries out what the core orders, towards the playout nodes. It must not block, and each
+// order comes to a call on the Core later: SetUp to Started or SetUpEnded, Probe to Probed, Dial to
+// StreamBroke at the latest when Hangup was called.
+type Carrier interface {
+	SetUp(a Allocation)
+	Recall(r Ref)
+	SetRung(r Ref, address string, rung, seq int)
+	End(r Ref, address, why string)
+	Probe(node int, address string)
+	Dial(node int, address string, at int64)
+	Hangup(node int)
+}
+
+// Listed is one line of the list of playout nodes, by name.
+type Listed struct {
+	Name    string
+	Address string // host:port
+	Phase   front.Phase
+	Kind    int
+	Zone    int
+	Cell    int
+	Started int64 // on the core's clock; 0 is long past
+	Weight  float64
+}
+
+// Running is a play that a node reports as running for this front.
+type Running struct {
+	Play    string
+	Epoch   int64 // of the front's life that set it up
+	Try     int
+	Product int // below 0 when this front knows no such product
+	Title   string
+	Home    int
+	Copies  int
+	Viewer  string
+	Rung    int
+	Seq     int // of the last order of a rung that it heard
+	Top     int
+	Left    int64 // guessed time left; 0 is not told
+}
+
+// Ask is a viewer's request for a play.
+type Ask struct {
+	Product int
+	Title   string
+	Home    int // first cell that holds the title
+	Copies  int
+	Viewer  string
+	Limit   int64 // when the client gives up
+	Length  int64 // guessed; 0 is not told
+	Top     int
+	Back    *Back // who it was before, by its token; nil for a first try
+	Reply   *Reply
+}
+
+// Back is what a returning viewer's token says.
+type Back struct {
+	Play   string
+	Broken bool // the viewer says that its playout node does not deliver
+}
+
+type stage uint8
+
+const (
+	waiting stage = iota
+	settingUp
+	playing
+)
+
+// play is a play in hand.
+type play struct {
+	id      string
+	h       front.Handle
+	ask     Ask
+	title   int
+	viewer  int
+	stage   stage
+	node    int
+	life    int64 // of the node's process that runs it
+	mark    int64 // of its start, in the node's own count
+	try     int
+	rung    int
+	seq     int
+	left    bool // nobody waits for its answer any more
+	adopted bool
+	early   *front.Ending // its end, where that was told before its start
+}
+
+// number is the module's number of the last allocation: it counts from 0, for adopted plays too.
+func (p *play) number() int {
+	if p.adopted {
+		return 0
+	}
+	return p.try
+}
+
+// how a play of this front ended, for those who come back with its token.
+type ending uint8
+
+const (
+	served   ending = iota + 1
+	moved           // to be placed anew
+	broken          // its node was lost
+	returned        // its viewer came back already: the token is used up
+)
+
+type finished struct {
+	id  string
+	at  int64
+	how ending
+}
+
+// node is a playout node that the front knows.
+type node struct {
+	name, address string
+	phase         front.Phase
+	listed        bool
+	followed      bool
+	life          int64
+	plays         int
+	probing       bool
+}
+
+// Counts are what the core has seen since its start.
+type Counts struct {
+	Taken, Plays, Declined, Failed, Denied, Moved, Lost, Adopted, Orphans uint64
+	InHand, Viewers, Titles, Nodes, Remembered                            int
+	Ready                                                                 bool
+}
+
+// Core is one front end's plays. Its methods come one at a time, with a clock that never goes back.
+type Core struct {
+	name    string
+	epoch   int64
+	mod     front.Chooser
+	out     Carrier
+	watch   *pulse.Watch
+	n       uint64
+	plays   map[string]*play
+	places  []*play // by place of the handle
+	asking  map[string]*play
+	titles  *numbers
+	viewers *numbers
+	nodes   []node
+	nodeAt  map[string]int
+	freed   []int // node numbers that may name another
+	ended   map[string]finished
+	endings []finished // in their order
+	list    []front.Node
+	listed  []int
+	wakeAt  int64
+	counts  Counts
+}
+
+// NewCore makes a core for a front's life. Epoch tells its lives apart and only grows; seed draws
+// the pauses between dials.
+func NewCore(now int64, name string, epoch int64, mod front.Chooser, out Carrier, seed uint64) *Core {
+	return &Core{name: name, epoch: epoch, mod: mod, out: out, watch: pulse.New(now, seed), wakeAt: now,
+		plays: map[string]*play{}, asking: map[string]*play{}, titles: newNumbers(), viewers: newNumbers(),
+		nodeAt: map[string]int{}, ended: map[string]finished{}}
+}
+
+// WakeAt is when Wake wants to be called at the latest.
+func (c *Core) WakeAt() int64 { return c.wakeAt }
+
+// Counts returns a copy of what was seen so far.
+func (c *Core) Counts() Counts {
+	s := c.counts
+	s.InHand, s.Viewers, s.Titles, s.Nodes = len(c.plays), len(c.viewers.at), len(c.titles.at), len(c.nodeAt)
+	s.Remembered = len(c.ended)
+	return s
+}
+
+// Ready tells whether the front may take plays.
+func (c *Core) Ready(now int64) bool {
+	c.counts.Ready = c.watch.Ready(now, c.listed)
+	return c.counts.Ready
+}
+
+// Ask brings a viewer's request. Exactly one answer is given to its reply, now or later, unless the
+// reply is withdrawn first.
+func (c *Core) Ask(now int64, a Ask) {
+	if !c.Ready(now) {
+		a.Reply.Give(Answer{Verdict: Declined, Why: "the front is starting", ComeBack: front.Second})
+		c.counts.Declined++
+		return
+	}
+	isMoved := false
+	if a.Back != nil {
+		how, p := c.recall(a.Back.Play)
+		switch {
+		case p != nil && p.stage == playing && !a.Back.Broken:
+			if a.Title == p.ask.Title {
+				a.Reply.Give(c.answer(p, "plays already"))
+			} else {
+				c.deny(a, "the token is of another title")
+			}
+			return
+		case p != nil && p.stage == playing:
+			c.nodeGaveUp(now, p)
+		case p != nil:
+			c.deny(a, busy)
+			return
+		case how == served:
+			c.deny(a, "the play has ended")
+			return
+		case how == returned:
+			c.deny(a, "the token was used to come back already")
+			return
+		case how == 0 && c.ownLife(a.Back.Play):
+			c.deny(a, "the play ended long ago")
+			return
+		}
+		isMoved = how == moved
+	}
+	key := a.Viewer + "\x00" + a.Title + "\x00" + strconv.Itoa(a.Product)
+	if c.asking[key] != nil {
+		c.deny(a, busy)
+		return
+	}
+	c.n++
+	p := &play{id: fmt.Sprintf("%s-%x-%d", c.name, c.epoch, c.n), ask: a, title: c.titles.hold(a.Title),
+		viewer: c.viewers.hold(a.Viewer)}
+	c.plays[p.id], c.asking[key] = p, p
+	c.counts.Taken++
+	h, res := c.mod.Take(now, front.Want{Product: a.Product, Title: p.title, Viewer: p.viewer, Limit: a.Limit,
+		Length: a.Length, Home: a.Home, Copies: a.Copies, Top: a.Top, Moved: isMoved, Again: a.Back != nil})
+	c.enter(p, h)
+	c.carry(now, res)
+}
+
+const busy = "the same viewer's request is being answered"
+
+func (c *Core) deny(a Ask, why string) {
+	c.counts.Denied++
+	a.Reply.Give(Answer{Verdict: Denied, Why: why, Busy: why == busy})
+}
+
+// Withdrawn says that nobody waits for a request's answer any more, as its client left or its time
+// ran out. A play that was answered meanwhile is ended.
+func (c *Core) Withdrawn(now int64, r *Reply) {
+	for _, p := range c.asking { // at most one has this reply
+		if p.ask.Reply == r {
+			c.leave(now, p)
+			return
+		}
+	}
+}
+
+// leave takes a play from its viewer.
+func (c *Core) leave(now int64, p *play) {
+	if p.left {
+		return
+	}
+	p.left = true
+	res := c.mod.Left(now, p.h)
+	if p.stage == waiting {
+		c.finish(now, p, served)
+	}
+	c.carry(now, res)
+}
+
+// Abandon ends a play whose answer did not reach its viewer, or whom the viewer ended.
+func (c *Core) Abandon(now int64, id string) {
+	p := c.plays[id]
+	if p == nil {
+		return
+	}
+	if p.stage == playing {
+		c.endAt(now, p, "viewer left", front.CalledOff, served)
+		return
+	}
+	c.leave(now, p)
+}
+
+// endAt ends a playing play at its node and for the module.
+func (c *Core) endAt(now int64, p *play, why string, how front.Ending, as ending) {
+	c.out.End(Ref{p.id, p.try, p.node}, c.nodes[p.node].address, why)
+	res := c.mod.Ended(now, p.h, p.number(), how, true, front.Untold)
+	c.finish(now, p, as)
+	c.carry(now, res)
+}
+
+// nodeGaveUp takes a viewer's word that the node does not deliver.
+func (c *Core) nodeGaveUp(now int64, p *play) {
+	c.counts.Lost++
+	c.endAt(now, p, "viewer says it broke", front.Lost, broken)
+}
+
+// Started says that a node set an allocation up, in which life of its process, with which mark of
+// its own count of starts, and at which rung it plays.
+func (c *Core) Started(now int64, r Ref, life, mark int64, rung int, load front.Load) {
+	p := c.at(r, settingUp)
+	if p == nil {
+		c.orphan(r)
+		return
+	}
+	p.stage, p.life, p.mark = playing, life, mark
+	c.free(p)
+	if p.left { // the module still counts a set-up: its end is called off
+		c.endAt(now, p, "viewer left", front.CalledOff, served)
+		return
+	}
+	c.carry(now, c.mod.Started(now, p.h, r.Try))
+	if c.plays[p.id] == nil {
+		return
+	}
+	if load != front.Untold {
+		c.carry(now, c.mod.Asked(now, p.h, load))
+	}
+	if rung != p.rung { // an order to change it overtook the set-up
+		p.seq++
+		c.out.SetRung(r, c.nodes[p.node].address, p.rung, p.seq)
+	}
+	if !p.ask.Reply.Give(c.answer(p, "")) { // withdrawn in the same moment: nobody will watch it
+		c.endAt(now, p, "viewer left", front.CalledOff, served)
+		return
+	}
+	c.counts.Plays++
+	if p.ask.Back != nil { // its token is used up only now: a viewer declined may try again with it
+		c.remember(now, p.ask.Back.Play, returned)
+	}
+	if p.early != nil {
+		c.PlayEnded(now, r, *p.early)
+	}
+}
+
+// orphan ends what a node runs and this front knows nothing of, or gave up.
+func (c *Core) orphan(r Ref) {
+	c.counts.Orphans++
+	if r.Node < len(c.nodes) && c.nodes[r.Node].address != "" {
+		c.out.End(r, c.nodes[r.Node].address, "given up before")
+	}
+}
+
+// SetUpEnded says how a set-up ended that did not start.
+func (c *Core) SetUpEnded(now int64, r Ref, how front.Ending, load front.Load) {
+	p := c.at(r, settingUp)
+	if p == nil {
+		return
+	}
+	p.stage = waiting
+	c.nodes[p.node].plays--
+	res := c.mod.Ended(now, p.h, r.Try, how, p.left, load)
+	if p.left {
+		c.finish(now, p, served)
+	}
+	c.carry(now, res)
+}
+
+// PlayEnded says that a node ended a play: Served when its time was over or its viewer stopped.
+func (c *Core) PlayEnded(now int64, r Ref, how front.Ending) {
+	if p := c.at(r, settingUp); p != nil { // the stream overtook the answer to the set-up
+		p.early = &how
+		return
+	}
+	if p := c.at(r, playing); p != nil {
+		as := served
+		if how != front.Served {
+			as = broken
+			c.counts.Lost++
+		}
+		res := c.mod.Ended(now, p.h, p.number(), how, true, front.Untold)
+		c.finish(now, p, as)
+		c.carry(now, res)
+	}
+}
+
+// Share brings the share of its rate that a play is delivered.
+func (c *Core) Share(now int64, r Ref, share float64) {
+	if p := c.at(r, playing); p != nil {
+		c.carry(now, c.mod.Delivered(now, p.h, share))
+	}
+}
+
+// Load brings a note of what is asked of the link or uplink of a play's node.
+func (c *Core) Load(now int64, r Ref, load front.Load) {
+	if p := c.at(r, playing); p != nil {
+		c.carry(now, c.mod.Asked(now, p.h, load))
+	}
+}
+
+// Probed brings the end of a probe.
+func (c *Core) Probed(now int64, at int, how front.Ending, load front.Load) {
+	if at < len(c.nodes) && c.nodes[at].probing {
+		c.nodes[at].probing = false
+		c.carry(now, c.mod.Probed(now, at, how, load))
+	}
+}
+
+// Hello brings the first word of a stream from a node: which life of its process it is, its count
+// of starts, and what it runs for this front. Plays of an earlier life of this front are adopted,
+// those that this life gave up are ended, and those that the node does not run any more are lost.
+func (c *Core) Hello(now int64, at int, life, mark int64, runs []Running) {
+	if at >= len(c.nodes) || !c.nodes[at].followed {
+		return
+	}
+	c.watch.Hello(now, at)
+	c.nodes[at].life = life
+	still := make(map[string]bool, len(runs))
+	for _, r := range runs {
+		still[r.Play] = true
+		switch p := c.plays[r.Play]; {
+		case p != nil && p.node == at && p.try == r.Try && p.stage != waiting: // as known here
+		case p == nil && r.Epoch < c.epoch && r.Product >= 0 && c.ended[r.Play].how == 0:
+			c.adopt(now, at, life, mark, r)
+		default:
+			c.orphan(Ref{Play: r.Play, Try: r.Try, Node: at})
+		}
+	}
+	for _, p := range c.runningAt(at) {
+		if !still[p.id] && (p.life != life || p.mark <= mark) {
+			c.PlayEnded(now, Ref{p.id, p.try, at}, front.Lost)
+		}
+	}
+}
+
+func (c *Core) adopt(now int64, at int, life, mark int64, r Running) {
+	c.counts.Adopted++
+	p := &play{id: r.Play, stage: playing, node: at, life: life, mark: mark, try: r.Try, rung: r.Rung, seq: r.Seq,
+		adopted: true, title: c.titles.hold(r.Title), viewer: c.viewers.hold(r.Viewer),
+		ask: Ask{Product: r.Product, Title: r.Title, Home: r.Home, Copies: r.Copies, Viewer: r.Viewer, Top: r.Top,
+			Length: r.Left}}
+	c.plays[p.id] = p
+	c.nodes[at].plays++
+	h, res := c.mod.Adopt(now, front.Want{Product: r.Product, Title: p.title, Viewer: p.viewer, Limit: now,
+		Length: r.Left, Home: r.Home, Copies: r.Copies, Top: r.Top}, at)
+	c.enter(p, h)
+	c.carry(now, res)
+	c.carry(now, c.mod.Told(now, p.h, r.Rung))
+}
+
+// Heard says that something came on a node's stream.
+func (c *Core) Heard(now int64, at int) { c.watch.Heard(now, at) }
+
+// StreamBroke says that a stream ended or could not be opened; gone, that the connection was refused
+// outright, so that no process is there.
+func (c *Core) StreamBroke(now int64, at int, gone bool) {
+	if at >= len(c.nodes) || !c.nodes[at].followed {
+		return
+	}
+	dialAt, ended := c.watch.Broke(now, at, gone)
+	if ended {
+		c.loseAll(now, at)
+	}
+	c.follow(now, at, dialAt)
+}
+
+// loseAll ends the plays of a node that can't run them any more.
+func (c *Core) loseAll(now int64, at int) {
+	for _, p := range c.runningAt(at) {
+		c.PlayEnded(now, Ref{p.id, p.try, at}, front.Lost)
+	}
+}
+
+// runningAt are the plays that play at a node, in the order of their places.
+func (c *Core) runningAt(at int) (on []*play) {
+	if c.nodes[at].plays == 0 {
+		return nil
+	}
+	for _, p := range c.places {
+		if p != nil && p.stage == playing && p.node == at {
+			on = append(on, p)
+		}
+	}
+	return on
+}
+
+// follow keeps the stream of a node open while the list has it or plays run there.
+func (c *Core) follow(now int64, at int, dialAt int64) {
+	n := &c.nodes[at]
+	n.followed = n.listed || n.plays > 0
+	if n.followed {
+		c.out.Dial(at, n.address, dialAt)
+	}
+}
+
+// List brings the whole list of nodes, or what changed of it.
+func (c *Core) List(now int64, lines []Listed, whole bool) {
+	if whole {
+		for i := range c.nodes {
+			c.nodes[i].listed = false
+		}
+	}
+	c.list = c.list[:0]
+	for _, l := range lines {
+		at, ok := c.nodeAt[l.Name]
+		if !ok {
+			if l.Phase == front.Gone {
+				continue
+			}
+			at = c.newNode(l.Name)
+		}
+		n := &c.nodes[at]
+		n.listed, n.phase = l.Phase != front.Gone, l.Phase
+		if n.address != l.Address && n.followed {
+			c.out.Hangup(at) // dialled again at its new address once the old stream has ended
+		}
+		n.address = l.Address
+		if !n.followed && n.listed {
+			c.follow(now, at, now)
+		}
+		c.list = append(c.list, front.Node{Index: at, Phase: l.Phase, Kind: l.Kind, Zone: l.Zone, Cell: l.Cell,
+			Started: l.Started, Weight: l.Weight})
+	}
+	c.listed = c.listed[:0]
+	for i := range c.nodes {
+		if c.nodes[i].listed {
+			c.listed = append(c.listed, i)
+		}
+	}
+	c.carry(now, c.mod.Nodes(now, c.list, whole))
+}
+
+func (c *Core) newNode(name string) (at int) {
+	if k := len(c.freed); k > 0 {
+		at, c.freed = c.freed[k-1], c.freed[:k-1]
+	} else {
+		at = len(c.nodes)
+		c.nodes = append(c.nodes, node{})
+	}
+	c.nodes[at] = node{name: name}
+	c.nodeAt[name] = at
+	return at
+}
+
+// Wake does what is due: the module's own checks, streams gone silent, and numbers to give back.
+func (c *Core) Wake(now int64) {
+	c.carry(now, c.mod.Wake(now))
+	for at := range c.nodes {
+		n := &c.nodes[at]
+		if n.name == "" {
+			continue
+		}
+		if n.followed && c.watch.Silent(now, at) {
+			c.out.Hangup(at)
+		}
+		if c.watch.Expired(now, at) {
+			c.loseAll(now, at)
+		}
+		if !n.listed && n.plays == 0 && !n.probing {
+			if n.followed {
+				n.followed = false
+				c.out.Hangup(at)
+			}
+			if c.mod.ForgetNode(now, at) {
+				delete(c.nodeAt, n.name)
+				c.watch.Forget(at)
+				*n = node{}
+				c.freed = append(c.freed, at)
+			}
+		}
+	}
+	c.viewers.sweep(sweepMost, func(i int) bool { return c.mod.ForgetViewer(now, i) })
+	c.titles.sweep(sweepMost, func(int) bool { return true })
+	c.forget(now)
+}
+
+// Close answers what still waits for an answer, as the front ends.
+func (c *Core) Close() {
+	for _, p := range c.places {
+		if p != nil && p.stage != playing && !p.left {
+			p.ask.Reply.Give(Answer{Verdict: Failed, Play: p.id, Why: "the front is ending"})
+		}
+	}
+}
+
+// ---- What the module ordered ----
+
+// carry hands on what a call decided, and then does what follows from it.
+func (c *Core) carry(now int64, res *front.Result) {
+	if res.Wake > 0 {
+		c.wakeAt = res.Wake
+	}
+	var moves []*play
+	for i := range res.Orders {
+		o := &res.Orders[i]
+		p := c.places[o.Play.Place]
+		switch o.Do {
+		case front.Place:
+			p.stage, p.node, p.rung, p.early = settingUp, o.Node, o.Rung, nil
+			p.try++
+			n := &c.nodes[o.Node]
+			n.plays++
+			c.out.SetUp(Allocation{Ref: Ref{p.id, p.try, o.Node}, Address: n.address, Product: p.ask.Product,
+				Title: p.ask.Title, Viewer: p.ask.Viewer, Rung: o.Rung, Top: p.ask.Top, Seq: p.seq, Until: o.Until,
+				Length: p.ask.Length})
+		case front.Decline:
+			c.counts.Declined++
+			p.ask.Reply.Give(Answer{Verdict: Declined, Play: p.id, ComeBack: o.ComeBack, Why: "no node can take it"})
+			c.finish(now, p, served)
+		case front.Fail:
+			c.counts.Failed++
+			p.ask.Reply.Give(Answer{Verdict: Failed, Play: p.id, Why: "its set-up may have run and did not answer"})
+			c.finish(now, p, served)
+		case front.SetRung:
+			p.rung = o.Rung
+			p.seq++
+			c.out.SetRung(Ref{p.id, p.try, p.node}, c.nodes[p.node].address, o.Rung, p.seq)
+		case front.Move:
+			moves = append(moves, p)
+		case front.Recall:
+			c.out.Recall(Ref{p.id, o.Try, p.node})
+		}
+	}
+	for _, at := range res.Probes {
+		c.nodes[at].probing = true
+		c.out.Probe(at, c.nodes[at].address)
+	}
+	for _, p := range moves { // the result is not read any more: the module may be called again
+		c.counts.Moved++
+		c.endAt(now, p, "moved", front.CalledOff, moved)
+	}
+}
+
+// ---- Records ----
+
+func (c *Core) enter(p *play, h front.Handle) {
+	if !p.adopted {
+		p.try = -1
+	}
+	p.h = h
+	for int(h.Place) >= len(c.places) {
+		c.places = append(c.places, nil)
+	}
+	c.places[h.Place] = p
+}
+
+// at is the play of an allocation if that is its last and it is in this stage.
+func (c *Core) at(r Ref, s stage) *play {
+	if p := c.plays[r.Play]; p != nil && p.try == r.Try && p.node == r.Node && p.stage == s {
+		return p
+	}
+	return nil
+}
+
+func (c *Core) answer(p *play, why string) Answer {
+	n := &c.nodes[p.node]
+	return Answer{Verdict: Plays, Play: p.id, Node: n.name, Address: n.address, Title: p.ask.Title,
+		Product: p.ask.Product, Viewer: p.ask.Viewer, Rung: p.rung, Top: p.ask.Top, Why: why}
+}
+
+// free lets the same viewer ask for the title again.
+func (c *Core) free(p *play) {
+	key := p.ask.Viewer + "\x00" + p.ask.Title + "\x00" + strconv.Itoa(p.ask.Product)
+	if c.asking[key] == p {
+		delete(c.asking, key)
+	}
+}
+
+// finish drops a play that the module has dropped.
+func (c *Core) finish(now int64, p *play, how ending) {
+	if c.plays[p.id] != p {
+		return
+	}
+	if p.stage != waiting {
+		c.nodes[p.node].plays--
+	}
+	c.free(p)
+	delete(c.plays, p.id)
+	c.places[p.h.Place] = nil
+	c.titles.release(p.title)
+	c.viewers.release(p.viewer)
+	if p.stage == playing { // nobody holds a token of another
+		c.remember(now, p.id, how)
+	}
+}
+
+// remember keeps how a play ended for those who come back with its token, as long as one is good.
+func (c *Core) remember(now int64, id string, how ending) {
+	f := finished{id, now, how}
+	c.ended[id] = f
+	c.endings = append(c.endings, f)
+	if len(c.ended) > endedKept {
+		c.forget(now)
+	}
+}
+
+func (c *Core) forget(now int64) {
+	k := 0
+	for k < len(c.endings) && (now-c.endings[k].at > endedFor || len(c.endings)-k > endedKept) {
+		if f := c.endings[k]; c.ended[f.id] == f {
+			delete(c.ended, f.id)
+		}
+		k++
+	}
+	if k > 0 {
+		c.endings = c.endings[:copy(c.endings, c.endings[k:])]
+	}
+}
+
+// recall is what is known of a play by its id.
+func (c *Core) recall(id string) (ending, *play) { return c.ended[id].how, c.plays[id] }
+
+// ownLife tells that a play was taken by this life of this front.
+func (c *Core) ownLife(id string) bool {
+	prefix := fmt.Sprintf("%s-%x-", c.name, c.epoch)
+	return len(id) > len(prefix) && id[:len(prefix)] == prefix
+}
--- /dev/null
+++ b/session/runner.go
@@ -0,0 +1,205 @@
+package session
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"gullrail/front"
+	"gullrail/intake"
+)
+
+const (
+	eventsHeld = 4096 // events that wait for the core; whoever brings one more waits itself
+	asksAtOnce = 8    // requests taken before events are looked at again
+)
+
+// Clock is the one clock of a front: monotonic tenths of a millisecond, never going back.
+type Clock struct{ began time.Time }
+
+// clockStart is where clocks begin, so that a time well before the start is still above 0, which
+// stands for long past.
+const clockStart = 24 * 3600 * front.Second
+
+// NewClock starts a clock.
+func NewClock() *Clock { return &Clock{time.Now()} }
+
+// Now reads the clock.
+func (c *Clock) Now() int64 { return clockStart + int64(time.Since(c.began)/(100*time.Microsecond)) }
+
+// At is the clock's time of a moment told by the wall clock; 0 if it lies before the clock's beginning.
+func (c *Clock) At(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return max(0, c.Now()-int64(time.Since(t)/(100*time.Microsecond)))
+}
+
+// Duration turns the clock's ticks into a duration.
+func Duration(ticks int64) time.Duration { return time.Duration(ticks) * 100 * time.Microsecond }
+
+// Ticks turns a duration into the clock's ticks.
+func Ticks(d time.Duration) int64 { return int64(d / (100 * time.Microsecond)) }
+
+// Runner runs a Core on one goroutine. Requests come through the intake gate, all else as events;
+// events go first, as they free what requests wait for.
+type Runner struct {
+	clock  *Clock
+	core   *Core
+	events chan func(now int64, c *Core)
+	poke   chan struct{}
+	done   chan struct{}
+
+	mu   sync.Mutex
+	gate *intake.Gate
+	shut bool
+	turn uint64 // requests turned away at the gate
+}
+
+// NewRunner makes a runner; Run runs it. The core must not be used by anyone else.
+func NewRunner(clock *Clock, gate *intake.Gate) *Runner {
+	return &Runner{clock: clock, gate: gate, events: make(chan func(int64, *Core), eventsHeld),
+		poke: make(chan struct{}, 1), done: make(chan struct{})}
+}
+
+// Clock is the runner's clock.
+func (r *Runner) Clock() *Clock { return r.clock }
+
+// Tell brings an event to the core, waiting while too many wait. After the runner has ended it does
+// nothing.
+func (r *Runner) Tell(ev func(now int64, c *Core)) {
+	select {
+	case r.events <- ev:
+	case <-r.done:
+	}
+}
+
+// Ask brings a request from a client, by whose name floods are told. Its answer comes to a.Reply.
+// The result withdraws it: the caller must call it if it stops waiting before the answer.
+func (r *Runner) Ask(a Ask, client string, importance float64) (withdraw func()) {
+	now := r.clock.Now()
+	w := &intake.Ask{Importance: importance, Limit: a.Limit, Client: client, Value: a}
+	r.mu.Lock()
+	var turned []*intake.Turned
+	if r.shut {
+		turned = append(turned, &intake.Turned{Ask: w, Why: intake.Full, ComeBack: front.Second})
+	} else {
+		v, back, gone := r.gate.Offer(now, w)
+		if gone != nil {
+			turned = append(turned, gone)
+		}
+		if v != intake.Waits {
+			turned = append(turned, &intake.Turned{Ask: w, Why: v, ComeBack: back})
+		}
+	}
+	r.turn += uint64(len(turned))
+	r.mu.Unlock()
+	for _, t := range turned {
+		turnAway(t)
+	}
+	select {
+	case r.poke <- struct{}{}:
+	default:
+	}
+	return func() {
+		r.mu.Lock()
+		waited := r.gate.Withdraw(w)
+		r.mu.Unlock()
+		if !waited {
+			r.Tell(func(now int64, c *Core) { c.Withdrawn(now, a.Reply) })
+		}
+	}
+}
+
+func turnAway(t *intake.Turned) {
+	t.Ask.Value.(Ask).Reply.Give(Answer{Verdict: Declined, Why: t.Why.String(), ComeBack: t.ComeBack})
+}
+
+// Turned is how many requests were turned away at the gate, and how many wait there.
+func (r *Runner) Turned() (turned uint64, waiting int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.turn, r.gate.Len()
+}
+
+// Run runs the core until the context ends, then turns away what still waits at the gate. The clock
+// is read once for each call on the core.
+func (r *Runner) Run(ctx context.Context, core *Core) error {
+	r.core = core
+	defer r.end()
+	defer core.Close()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		timer.Reset(Duration(max(0, core.WakeAt()-r.clock.Now())))
+		select {
+		case <-ctx.Done():
+			return nil
+		case ev := <-r.events:
+			ev(r.clock.Now(), core)
+		case <-r.poke:
+		case <-timer.C:
+		}
+		r.drain()
+		if now := r.clock.Now(); now >= core.WakeAt() {
+			core.Wake(now)
+		}
+	}
+}
+
+// drain takes all events that wait, then requests, and again while there are requests.
+func (r *Runner) drain() {
+	for {
+		for range eventsHeld {
+			select {
+			case ev := <-r.events:
+				ev(r.clock.Now(), r.core)
+				continue
+			default:
+			}
+			break
+		}
+		for range asksAtOnce {
+			now := r.clock.Now()
+			r.mu.Lock()
+			a, late := r.gate.Next(now)
+			if late != nil {
+				r.turn++
+			}
+			r.mu.Unlock()
+			switch {
+			case late != nil:
+				turnAway(late)
+			case a != nil:
+				ask := a.Value.(Ask)
+				ask.Limit = intake.Limit(now, ask.Limit)
+				r.core.Ask(now, ask)
+			default:
+				return
+			}
+		}
+		if now := r.clock.Now(); now >= r.core.WakeAt() { // a long queue must not hold up what is due
+			r.core.Wake(now)
+		}
+	}
+}
+
+func (r *Runner) end() {
+	r.mu.Lock()
+	r.shut = true
+	gate := r.gate
+	r.mu.Unlock()
+	close(r.done)
+	for {
+		r.mu.Lock()
+		a, late := gate.Next(r.clock.Now())
+		r.mu.Unlock()
+		if a != nil {
+			late = &intake.Turned{Ask: a, Why: intake.Full, ComeBack: front.Second}
+		}
+		if late == nil {
+			return
+		}
+		turnAway(late)
+	}
+}
