--- /dev/null
+++ b/lab/audit/audit_test.go
@@ -0,0 +1,185 @@
+package audit
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"gullrail/conf"
+	"gullrail/lab/tape"
+)
+
+func service() *conf.Service {
+	return &conf.Service{Products: []conf.Product{
+		{Name: "paid", Importance: 2, TargetMs: 1500, LimitMs: 5000, Paid: true, Floor: 1, Seats: 2},
+		{Name: "safe", Importance: 1, TargetMs: 1000, LimitMs: 5000}},
+		Kinds: []conf.Kind{{Name: "std", Streams: 20}}, ColdShare: 0.4, ColdLastsMs: 10000, FallMultiple: 2.5, FallOverMs: 1000,
+		DrainGraceMs: 1000, BudgetFree: 2, BudgetShare: 0.1, BudgetOverMs: 10000}
+}
+
+// script is a tape by hand: a line a call, each some milliseconds after the one before.
+type script struct {
+	lines []tape.Line
+	t     int64
+}
+
+func (s *script) add(afterMs int64, l tape.Line) *script {
+	s.t += afterMs * 1000
+	l.T = s.t
+	s.lines = append(s.lines, l)
+	return s
+}
+
+func (s *script) ask(id int64, product string) *script {
+	return s.add(10, tape.Line{What: tape.Ask, ID: id, Front: "f", Viewer: fmt.Sprint("v", id), Product: product, Title: "t", LimitMs: 5000, First: true})
+}
+
+func (s *script) node(afterMs int64, what, node, play string, try int, product string, rung int) *script {
+	return s.add(afterMs, tape.Line{What: what, Front: "f", Node: node, Play: play, Try: try, Product: product, Title: "t", Rung: rung})
+}
+
+func (s *script) answer(afterMs, id int64, status int, play string) *script {
+	return s.add(afterMs, tape.Line{What: tape.Answer, ID: id, Status: status, Play: play})
+}
+
+// whole is a play from its request to its end, with nothing wrong.
+func (s *script) whole(id int64, product, play string) *script {
+	return s.ask(id, product).node(1, tape.SetUp, "n", play, 0, product, 1).node(50, tape.Started, "n", play, 0, product, 1).
+		answer(1, id, 200, play).node(2000, tape.Ended, "n", play, 0, product, 1)
+}
+
+func (s *script) late() *script { return s.add(20000, tape.Line{What: tape.Fault}) }
+
+func TestPlantedBreaks(t *testing.T) {
+	told := func(afterMs int64, phase string) func(s *script) *script {
+		return func(s *script) *script {
+			return s.add(afterMs, tape.Line{What: tape.Told, Front: "f", Node: "n", Note: phase})
+		}
+	}
+	for _, c := range []struct {
+		name string
+		rule int // 0 is none
+		make func(s *script) *script
+	}{
+		{"nothing wrong", 0, func(s *script) *script { return s.whole(1, "paid", "p").whole(2, "safe", "q").late() }},
+		{"no answer", 1, func(s *script) *script { return s.ask(1, "safe").late() }},
+		{"no answer, and the tape ends before the limit", 0, func(s *script) *script { return s.ask(1, "safe") }},
+		{"no answer, of a front that was killed", 0, func(s *script) *script {
+			return s.ask(1, "safe").add(100, tape.Line{What: tape.Killed, Front: "f"}).late()
+		}},
+		{"no answer, and another front was killed", 1, func(s *script) *script {
+			return s.ask(1, "safe").add(100, tape.Line{What: tape.Killed, Front: "g"}).late()
+		}},
+		{"no answer after the front was up again", 1, func(s *script) *script {
+			return s.add(1, tape.Line{What: tape.Killed, Front: "f"}).add(100, tape.Line{What: tape.Up, Front: "f"}).ask(1, "safe").late()
+		}},
+		{"two answers", 1, func(s *script) *script { return s.whole(1, "safe", "p").answer(1, 1, 503, "p").late() }},
+		{"an answer after the limit", 1, func(s *script) *script { return s.ask(1, "safe").answer(5200, 1, 503, "p") }},
+		{"an answer nobody asked for", 1, func(s *script) *script { return s.answer(1, 9, 200, "p") }},
+		{"sent again after it was refused", 0, func(s *script) *script {
+			return s.ask(1, "paid").node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(9, tape.Refused, "n", "p", 0, "paid", 1).
+				node(1, tape.SetUp, "m", "p", 1, "paid", 1).node(9, tape.Started, "m", "p", 1, "paid", 1).answer(1, 1, 200, "p")
+		}},
+		{"paid, sent again after an error", 2, func(s *script) *script {
+			return s.ask(1, "paid").node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(9, tape.Errored, "n", "p", 0, "paid", 1).
+				node(1, tape.SetUp, "m", "p", 1, "paid", 1)
+		}},
+		{"safe, sent again after an error", 0, func(s *script) *script {
+			return s.ask(1, "safe").node(1, tape.SetUp, "n", "p", 0, "safe", 1).node(9, tape.Errored, "n", "p", 0, "safe", 1).
+				node(1, tape.SetUp, "m", "p", 1, "safe", 1)
+		}},
+		{"safe, two out at once", 2, func(s *script) *script {
+			return s.ask(1, "safe").node(1, tape.SetUp, "n", "p", 0, "safe", 1).node(200, tape.SetUp, "m", "p", 1, "safe", 1).
+				node(100, tape.Started, "m", "p", 1, "safe", 1).answer(1, 1, 200, "p")
+		}},
+		{"the same allocation twice", 2, func(s *script) *script {
+			return s.ask(1, "safe").node(1, tape.SetUp, "n", "p", 0, "safe", 1).node(9, tape.Refused, "n", "p", 0, "safe", 1).
+				node(1, tape.SetUp, "m", "p", 0, "safe", 1)
+		}},
+		{"paid, declined though it may have run", 2, func(s *script) *script {
+			return s.ask(1, "paid").node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(9, tape.Dropped, "n", "p", 0, "paid", 1).answer(1, 1, 503, "p")
+		}},
+		{"paid, set up again after its node crashed", 2, func(s *script) *script {
+			return s.ask(1, "paid").node(1, tape.SetUp, "n", "p", 0, "paid", 1).add(5, tape.Line{What: tape.Crash, Node: "n"}).
+				node(9, tape.SetUp, "m", "p", 1, "paid", 1)
+		}},
+		{"set up within the grace", 0, func(s *script) *script { return told(10, "draining")(s).whole(1, "safe", "p") }},
+		{"set up after the grace", 3, func(s *script) *script {
+			return told(10, "draining")(s).add(1200, tape.Line{What: tape.Fault}).whole(1, "safe", "p")
+		}},
+		{"set up at a node that is gone", 3, func(s *script) *script {
+			return told(10, "gone")(told(10, "draining")(s)).add(1200, tape.Line{What: tape.Fault}).whole(1, "safe", "p")
+		}},
+		{"set up at a node that is ready again", 0, func(s *script) *script {
+			return told(2000, "ready")(told(10, "draining")(s)).whole(1, "safe", "p")
+		}},
+		{"a cold node sent too much", 4, func(s *script) *script {
+			s.add(1, tape.Line{What: tape.Life, Node: "n", Note: "cold"})
+			for i := range 9 {
+				s.node(20, tape.SetUp, "n", fmt.Sprint("p", i), 0, "safe", 0)
+			}
+			return s
+		}},
+		{"a warm node sent as much", 0, func(s *script) *script {
+			s.add(1, tape.Line{What: tape.Life, Node: "n", Note: "warm"})
+			for i := range 9 {
+				s.node(20, tape.SetUp, "n", fmt.Sprint("p", i), 0, "safe", 0)
+			}
+			return s
+		}},
+		{"a node fell", 4, func(s *script) *script { return s.add(1, tape.Line{What: tape.Fell, Node: "n"}) }},
+		{"set up under the floor", 5, func(s *script) *script { return s.node(1, tape.SetUp, "n", "p", 0, "paid", 0) }},
+		{"stepped under the floor", 5, func(s *script) *script {
+			return s.node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(1, tape.Rung, "n", "p", 0, "paid", 0)
+		}},
+		{"three plays on two seats", 5, func(s *script) *script {
+			for i := range 3 {
+				s.node(100, tape.SetUp, "n", fmt.Sprint("p", i), 0, "paid", 1)
+			}
+			return s.late()
+		}},
+		{"a third play once one has ended", 0, func(s *script) *script {
+			return s.node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(1, tape.SetUp, "n", "q", 0, "paid", 1).
+				node(100, tape.Ended, "n", "p", 0, "paid", 1).node(1, tape.SetUp, "n", "r", 0, "paid", 1)
+		}},
+		{"a third play as one ends on another socket", 0, func(s *script) *script {
+			return s.node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(1, tape.SetUp, "n", "q", 0, "paid", 1).
+				node(100, tape.SetUp, "n", "r", 0, "paid", 1).node(5, tape.End, "n", "p", 0, "paid", 1).late()
+		}},
+		{"further allocations over the budget", 6, func(s *script) *script {
+			for i := range 3 {
+				s.node(100, tape.SetUp, "n", fmt.Sprint("p", i), 1, "safe", 1).node(1, tape.Refused, "n", fmt.Sprint("p", i), 1, "safe", 1)
+			}
+			return s
+		}},
+		{"further allocations, spread", 0, func(s *script) *script {
+			for i := range 5 {
+				s.node(5000, tape.SetUp, "n", fmt.Sprint("p", i), 1, "safe", 1).node(1, tape.Refused, "n", fmt.Sprint("p", i), 1, "safe", 1)
+			}
+			return s
+		}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			rep := Check(service(), c.make(&script{}).lines)
+			for i, r := range rep.Rules {
+				if broken := len(r.Breaks) > 0; broken != (i+1 == c.rule) {
+					t.Errorf("rule %d: %v", i+1, r.Breaks)
+				}
+			}
+			if c.rule > 0 && len(rep.Rules[c.rule-1].Breaks) > 0 && !strings.Contains(rep.Rules[c.rule-1].Breaks[0], "line") {
+				t.Error("the break does not name its lines")
+			}
+		})
+	}
+}
+
+func TestServiceCountsRetriesAsTheFirstTry(t *testing.T) {
+	s := (&script{}).ask(1, "paid").answer(5, 1, 503, "")                                                  // 2 asked
+	s.add(100, tape.Line{What: tape.Ask, ID: 2, Front: "g", Viewer: "v1", Product: "paid", LimitMs: 5000}) // its retry
+	s.answer(50, 2, 200, "p")                                                                              // in time: 2 served
+	s.ask(3, "safe").answer(1100, 3, 200, "q")                                                             // too late: 0 of 1
+	rep := Check(service(), s.lines)
+	if rep.Asked != 2 || rep.Requests != 3 || rep.Service != 2.0/3 {
+		t.Fatalf("%+v", rep)
+	}
+}
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -18,6 +18,8 @@
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"gullrail/conf"
 	"gullrail/lab/audit"
 	"gullrail/lab/tape"
@@ -29,7 +31,7 @@
 // this one, all on loopback.
 type Rehearsal struct {
 	Day     *Day
-	Program string // the gullrail that serves
+	Program string // the gullrail that serves; empty runs the fronts in this process, where they can't be killed
 	Folder  string // for the fronts' settings and logs
 	Say     func(format string, args ...any)
 
@@ -50,6 +52,8 @@
 	name, file, log, addr string
 	mu                    sync.Mutex
 	cmd                   *exec.Cmd
+	begun                 bool
+	here                  func() error // ends a front in this process
 }
 
 // Outcome is what a rehearsal came to.
@@ -224,7 +228,15 @@
 }
 
 func (f *frontProcess) start(program string) error {
-	log, err := os.OpenFile(f.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if program == "" {
+		return f.startHere()
+	}
+	flags := os.O_CREATE | os.O_APPEND | os.O_WRONLY
+	if !f.begun { // a folder kept from a run before
+		flags |= os.O_TRUNC
+	}
+	f.begun = true
+	log, err := os.OpenFile(f.log, flags, 0o600)
 	if err != nil {
 		return fmt.Errorf("rehearsal: %w", err)
 	}
@@ -267,6 +279,25 @@
 	}
 }
 
+// startHere runs the front in this process.
+func (f *frontProcess) startHere() error {
+	set, err := conf.ReadFront(f.file)
+	if err != nil {
+		return err
+	}
+	front, err := serve.Listen(set, time.Now().UnixNano(), zerolog.Nop())
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- front.Run(ctx) }()
+	f.mu.Lock()
+	f.here = func() error { cancel(); return <-done }
+	f.mu.Unlock()
+	return nil
+}
+
 // kill ends the process as a crash does.
 func (f *frontProcess) kill() {
 	f.mu.Lock()
@@ -282,9 +313,12 @@
 // stop ends the process in order, and at once if it takes too long.
 func (f *frontProcess) stop() error {
 	f.mu.Lock()
-	cmd := f.cmd
-	f.cmd = nil
+	cmd, here := f.cmd, f.here
+	f.cmd, f.here = nil, nil
 	f.mu.Unlock()
+	if here != nil {
+		return here()
+	}
 	if cmd == nil {
 		return nil
 	}
--- a/session/core.go
+++ b/session/core.go
@@ -569,6 +569,7 @@
 
 // Wake does what is due: the module's own checks, streams gone silent, and numbers to give back.
 func (c *Core) Wake(now int64) {
+	c.wakeAt = 0
 	c.carry(now, c.mod.Wake(now))
 	for at := range c.nodes {
 		n := &c.nodes[at]
@@ -612,7 +613,7 @@
 
 // carry hands on what a call decided, and then does what follows from it.
 func (c *Core) carry(now int64, res *front.Result) {
-	if res.Wake > 0 {
+	if res.Wake > 0 && (c.wakeAt == 0 || res.Wake < c.wakeAt) { // a later call must not put off what an earlier one needs
 		c.wakeAt = res.Wake
 	}
 	var moves []*play
--- /dev/null
+++ b/session/core_test.go
@@ -0,0 +1,399 @@
+package session
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"gullrail/choice"
+	"gullrail/front"
+	"gullrail/pulse"
+)
+
+const start = clockStart
+
+// recorder is a Carrier that only writes down what was ordered.
+type recorder struct {
+	setUps []Allocation
+	ends   []Ref
+	rungs  []int
+	dials  map[int]int64
+	hung   []int
+	recall []Ref
+}
+
+func (r *recorder) SetUp(a Allocation)                     { r.setUps = append(r.setUps, a) }
+func (r *recorder) Recall(x Ref)                           { r.recall = append(r.recall, x) }
+func (r *recorder) SetRung(x Ref, _ string, rung, seq int) { r.rungs = append(r.rungs, rung) }
+func (r *recorder) End(x Ref, _, _ string)                 { r.ends = append(r.ends, x) }
+func (r *recorder) Probe(int, string)                      {}
+func (r *recorder) Dial(node int, _ string, at int64)      { r.dials[node] = at }
+func (r *recorder) Hangup(node int)                        { r.hung = append(r.hung, node) }
+func (r *recorder) last(t *testing.T) Allocation {
+	t.Helper()
+	if len(r.setUps) == 0 {
+		t.Fatal("nothing was set up")
+	}
+	return r.setUps[len(r.setUps)-1]
+}
+
+func terms() map[string][]float64 {
+	return map[string][]float64{
+		"fronts": {1}, "front": {0}, "cells": {4}, "racks": {2}, "kind.streams": {1000},
+		"rung.rate": {100, 200, 400}, "rung.worth": {0.3, 0.6, 1}, "weight.rate": {1e7}, "tries": {4}, "zone": {0},
+		"product.rate": {1, 1}, "product.paid": {0, 1}, "product.floor": {0, 1}, "product.seats": {0, 2},
+		"product.importance": {1, 2}, "product.target": {10000, 10000}, "comeback": {1}, "comeback.most": {5000},
+		"recall": {1}, "cold.share": {0.4}, "cold.lasts": {120000}, "fall.multiple": {2.5}, "fall.over": {10000},
+	}
+}
+
+// core makes a ready core with n nodes, each met in life 7.
+func core(n int) (*Core, *recorder) {
+	out := &recorder{dials: map[int]int64{}}
+	c := NewCore(start, "f", 0xe, choice.New(terms(), 1), out, 1)
+	var lines []Listed
+	for i := range n {
+		lines = append(lines, Listed{Name: fmt.Sprint("n", i), Address: fmt.Sprint("a", i), Cell: i, Weight: 1})
+	}
+	c.List(start, lines, true)
+	for i := range n {
+		c.Hello(start, i, 7, 0, nil)
+	}
+	return c, out
+}
+
+const ready = start + front.Second
+
+func want(product int, viewer string) Ask {
+	return Ask{Product: product, Title: "clip", Copies: 4, Viewer: viewer, Limit: ready + 4*front.Second, Top: 2, Reply: NewReply()}
+}
+
+func got(t *testing.T, a Ask) Answer {
+	t.Helper()
+	select {
+	case x := <-a.Reply.Answer():
+		return x
+	default:
+		t.Fatal("no answer")
+		return Answer{}
+	}
+}
+
+func silent(t *testing.T, a Ask) {
+	t.Helper()
+	select {
+	case x := <-a.Reply.Answer():
+		t.Fatalf("answered already: %+v", x)
+	default:
+	}
+}
+
+// plays brings a play to playing and returns its answer.
+func plays(t *testing.T, c *Core, out *recorder, a Ask) Answer {
+	t.Helper()
+	c.Ask(ready, a)
+	s := out.last(t)
+	c.Started(ready, s.Ref, 7, int64(len(out.setUps)), s.Rung, front.Untold)
+	x := got(t, a)
+	if x.Verdict != Plays {
+		t.Fatalf("got %+v", x)
+	}
+	return x
+}
+
+func TestOneAnswerOnceItPlays(t *testing.T) {
+	c, out := core(2)
+	a := want(0, "v")
+	c.Ask(ready, a)
+	silent(t, a)
+	s := out.last(t)
+	c.Started(ready, s.Ref, 7, 1, s.Rung, front.Untold)
+	if x := got(t, a); x.Verdict != Plays || x.Node != fmt.Sprint("n", s.Node) {
+		t.Fatalf("got %+v", x)
+	}
+	c.Started(ready, s.Ref, 7, 1, s.Rung, front.Untold) // stale: what runs under no play is ended
+	if len(out.ends) != 1 || c.Counts().Orphans != 1 {
+		t.Fatalf("ends %v", out.ends)
+	}
+}
+
+func TestAnswerAndTimeLimitInBothOrders(t *testing.T) {
+	c, out := core(1)
+	a := want(0, "v")
+	c.Ask(ready, a)
+	s := out.last(t)
+	if !a.Reply.Withdraw() {
+		t.Fatal("the first to use a reply has it")
+	}
+	c.Started(ready, s.Ref, 7, 1, s.Rung, front.Untold) // comes second: nobody will watch it
+	if len(out.ends) != 1 || c.Counts().InHand != 0 {
+		t.Fatalf("ends %v, in hand %d", out.ends, c.Counts().InHand)
+	}
+	c.Withdrawn(ready, a.Reply)
+
+	b := want(0, "w")
+	plays(t, c, out, b)
+	if b.Reply.Withdraw() {
+		t.Fatal("a reply was used twice")
+	}
+	c.Withdrawn(ready, b.Reply)
+	if c.Counts().InHand != 1 {
+		t.Fatal("a play that was answered was taken back")
+	}
+}
+
+func TestPaidPlayThatMayHaveRunIsNeverSentAgain(t *testing.T) {
+	for how, again := range map[front.Ending]bool{front.TurnedAway: true, front.NoConnect: true, front.NotSent: true,
+		front.Errored: false, front.Lost: false, front.NoAnswer: false} {
+		c, out := core(3)
+		a := want(1, "v")
+		c.Ask(ready, a)
+		c.SetUpEnded(ready, out.last(t).Ref, how, front.Untold)
+		if again != (len(out.setUps) == 2) {
+			t.Fatalf("ending %d: %d set-ups", how, len(out.setUps))
+		}
+		if !again && got(t, a).Verdict != Failed {
+			t.Fatalf("ending %d: not failed", how)
+		}
+	}
+}
+
+func TestViewerWhoLeavesFreesItsSeatOnlyOnceTheSetUpIsIn(t *testing.T) {
+	c, out := core(1)
+	a, b := want(1, "v"), want(1, "w")
+	c.Ask(ready, a)
+	c.Ask(ready, b)
+	a.Reply.Withdraw()
+	c.Withdrawn(ready, a.Reply)
+	if len(out.recall) != 1 || c.Counts().InHand != 2 {
+		t.Fatalf("recalls %v", out.recall)
+	}
+	x := want(1, "x")
+	c.Ask(ready, x)
+	if got(t, x).Verdict != Declined {
+		t.Fatal("a third play got one of two seats")
+	}
+	c.SetUpEnded(ready, out.setUps[0].Ref, front.CalledOff, front.Untold)
+	y := want(1, "y")
+	c.Ask(ready, y)
+	silent(t, y)
+}
+
+func TestSameViewerTwiceAtOnceIsDenied(t *testing.T) {
+	c, out := core(1)
+	a, b := want(0, "v"), want(0, "v")
+	c.Ask(ready, a)
+	c.Ask(ready, b)
+	if x := got(t, b); x.Verdict != Denied || !x.Busy || len(out.setUps) != 1 {
+		t.Fatalf("got %+v", x)
+	}
+	silent(t, a)
+}
+
+func TestTokensOfAPlay(t *testing.T) {
+	c, out := core(2)
+	first := want(0, "v")
+	x := plays(t, c, out, first)
+	back := func(broken bool, id string) Ask {
+		a := want(0, "v")
+		a.Back = &Back{Play: id, Broken: broken}
+		return a
+	}
+	a := back(false, x.Play)
+	c.Ask(ready, a)
+	if y := got(t, a); y.Verdict != Plays || y.Play != x.Play || len(out.setUps) != 1 {
+		t.Fatalf("while it plays, its manifest again: %+v", y)
+	}
+	a = back(true, x.Play)
+	c.Ask(ready, a)
+	if len(out.setUps) != 2 || len(out.ends) != 1 {
+		t.Fatal("the node does not deliver: ended there, set up anew")
+	}
+	s := out.last(t)
+	c.Started(ready, s.Ref, 7, 2, s.Rung, front.Untold)
+	y := got(t, a)
+	a = back(false, x.Play)
+	c.Ask(ready, a)
+	if z := got(t, a); z.Verdict != Denied {
+		t.Fatalf("a token used to come back was used again: %+v", z)
+	}
+	c.Abandon(ready, y.Play)
+	a = back(false, y.Play)
+	c.Ask(ready, a)
+	if z := got(t, a); z.Verdict != Denied {
+		t.Fatalf("a token was replayed after its play ended: %+v", z)
+	}
+	a = back(false, "f-e-99999")
+	c.Ask(ready, a)
+	if z := got(t, a); z.Verdict != Denied {
+		t.Fatalf("a token of a play long forgotten: %+v", z)
+	}
+	a = back(false, "other-1-1") // another front's, or an earlier life's: comes again
+	c.Ask(ready, a)
+	silent(t, a)
+}
+
+func TestDeclinedViewerMayTryAgainWithItsToken(t *testing.T) {
+	c, out := core(2)
+	x := plays(t, c, out, want(0, "v"))
+	c.PlayEnded(ready, Ref{x.Play, 0, out.last(t).Node}, front.Lost)
+	for range 2 {
+		a := want(0, "v")
+		a.Copies = 0 // nobody holds it: declined
+		a.Back = &Back{Play: x.Play}
+		c.Ask(ready, a)
+		if y := got(t, a); y.Verdict != Declined {
+			t.Fatalf("got %+v", y)
+		}
+	}
+}
+
+func TestEndToldBeforeTheStart(t *testing.T) {
+	c, out := core(1)
+	a := want(0, "v")
+	c.Ask(ready, a)
+	s := out.last(t)
+	c.PlayEnded(ready, s.Ref, front.Served)
+	c.Started(ready, s.Ref, 7, 1, s.Rung, front.Untold)
+	if got(t, a).Verdict != Plays || c.Counts().InHand != 0 {
+		t.Fatal("the play is answered and over")
+	}
+}
+
+func TestRungChangedDuringSetUpIsToldAgain(t *testing.T) {
+	c, out := core(1)
+	a := want(0, "v")
+	c.Ask(ready, a)
+	s := out.last(t)
+	c.Started(ready, s.Ref, 7, 1, s.Rung+1, front.Untold)
+	if len(out.rungs) != 1 || out.rungs[0] != s.Rung {
+		t.Fatalf("rungs told %v", out.rungs)
+	}
+}
+
+func TestHelloSettlesWhatRuns(t *testing.T) {
+	c, out := core(1)
+	kept, lost, young := plays(t, c, out, want(0, "a")), plays(t, c, out, want(0, "b")), plays(t, c, out, want(0, "c"))
+	runs := []Running{{Play: kept.Play, Epoch: 0xe}, {Play: "f-e-77", Epoch: 0xe, Try: 1},
+		{Play: "f-d-5", Epoch: 0xd, Try: 2, Title: "clip", Copies: 4, Viewer: "old", Rung: 1, Top: 2, Seq: 4},
+		{Play: "f-d-6", Epoch: 0xd, Product: -1, Title: "gone", Viewer: "x"}}
+	c.Hello(ready, 0, 7, 2, runs) // told before the third started
+	if c.plays[kept.Play] == nil || c.plays[lost.Play] != nil || c.plays[young.Play] == nil {
+		t.Fatal("only what the node does not run is lost, unless it started later than the node's word")
+	}
+	if p := c.plays["f-d-5"]; p == nil || p.stage != playing || p.rung != 1 || c.Counts().Adopted != 1 {
+		t.Fatal("a play of an earlier life is adopted")
+	}
+	if len(out.ends) != 2 || out.ends[0].Play != "f-e-77" || out.ends[1].Play != "f-d-6" {
+		t.Fatalf("ended: %v", out.ends)
+	}
+	c.PlayEnded(ready, Ref{"f-d-5", 2, 0}, front.Served)
+	c.Hello(ready, 0, 8, 0, nil) // the node's process is another
+	if c.Counts().InHand != 0 {
+		t.Fatalf("%d in hand after the node's restart", c.Counts().InHand)
+	}
+}
+
+func TestPlaysOfASilentNodeEndOnlyWithTheLease(t *testing.T) {
+	c, out := core(1)
+	plays(t, c, out, want(0, "v"))
+	c.StreamBroke(ready, 0, false)
+	c.Wake(ready + pulse.Lease)
+	if c.Counts().InHand != 1 {
+		t.Fatal("given up while the node may run it")
+	}
+	c.Wake(ready + 2*pulse.Lease)
+	if c.Counts().InHand != 0 || c.Counts().Lost != 1 {
+		t.Fatal("its lease has passed")
+	}
+}
+
+func TestNoPlayBeforeReady(t *testing.T) {
+	out := &recorder{dials: map[int]int64{}}
+	c := NewCore(start, "f", 1, choice.New(terms(), 1), out, 1)
+	a := want(0, "v")
+	c.Ask(start, a)
+	if x := got(t, a); x.Verdict != Declined || x.ComeBack == 0 {
+		t.Fatalf("got %+v", x)
+	}
+}
+
+func TestALaterCallDoesNotPutOffWake(t *testing.T) {
+	c, _ := core(1)
+	c.Wake(ready)
+	due := c.WakeAt()
+	for i := range int64(100) {
+		c.Share(ready+i, Ref{"x", 0, 0}, 1)
+		a := want(0, fmt.Sprint("v", i))
+		a.Copies = 0
+		c.Ask(ready+i, a)
+	}
+	if c.WakeAt() != due {
+		t.Fatalf("due at %d, put off to %d", due, c.WakeAt())
+	}
+}
+
+func TestNodeGoneFromTheListIsForgottenAndItsNumberUsedAgain(t *testing.T) {
+	c, out := core(2)
+	c.List(ready, []Listed{{Name: "n0", Address: "a0", Phase: front.Gone}}, false)
+	c.Wake(ready + front.Second)
+	c.StreamBroke(ready+front.Second, 0, false)
+	if len(out.hung) != 1 {
+		t.Fatal("its stream is still followed")
+	}
+	c.Wake(ready + 20*front.Second)
+	if c.Counts().Nodes != 1 {
+		t.Fatalf("%d nodes known", c.Counts().Nodes)
+	}
+	c.List(ready+21*front.Second, []Listed{{Name: "new", Address: "b", Cell: 0, Weight: 1}}, false)
+	if len(c.nodes) != 2 || c.nodes[0].name != "new" {
+		t.Fatalf("nodes %+v", c.nodes)
+	}
+}
+
+// churn takes so many plays through the core, each by a viewer of its own, and returns what it keeps.
+func churn(t testing.TB, n int) (heap uint64, s Counts) {
+	c, out := core(4)
+	now := int64(ready)
+	for i := range n {
+		now += 300 // 33 plays a second
+		a := Ask{Title: fmt.Sprint("t", i%5000), Copies: 4, Viewer: fmt.Sprint("v", i), Limit: now + 4*front.Second, Top: 2, Reply: NewReply()}
+		c.Ask(now, a)
+		if len(out.setUps) > 0 {
+			s := out.setUps[0]
+			out.setUps = out.setUps[:0]
+			c.Started(now, s.Ref, 7, int64(i), s.Rung, front.Untold)
+			c.PlayEnded(now+10, s.Ref, front.Served)
+		}
+		if now >= c.WakeAt() {
+			c.Wake(now)
+			for at := range c.nodes {
+				c.Heard(now, at)
+			}
+		}
+		out.ends, out.rungs, out.recall, out.hung = out.ends[:0], out.rungs[:0], out.recall[:0], out.hung[:0]
+	}
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	s = c.Counts()
+	if s.Plays != uint64(n) {
+		t.Fatalf("%d of %d play", s.Plays, n)
+	}
+	return m.HeapAlloc, s
+}
+
+func TestMemoryStaysBounded(t *testing.T) {
+	n := 150_000
+	if soak := *soakPlays; soak > 0 {
+		n = soak
+	}
+	_, s := churn(t, n)
+	if s.Viewers > 1000 || s.Titles > 5000 || s.Remembered > 25_000 || s.InHand != 0 {
+		t.Fatalf("after %d plays: %+v", n, s)
+	}
+	if *soakPlays > 0 {
+		heap, _ := churn(t, n)
+		t.Logf("%d plays: heap %.1f MB, %+v", n, float64(heap)/1e6, s)
+	}
+}
--- /dev/null
+++ b/session/soak_test.go
@@ -0,0 +1,38 @@
+package session
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"gullrail/front"
+)
+
+// soakPlays asks TestMemoryStaysBounded for a long run: go test ./session -run Memory -soak 5000000 -v
+var soakPlays = flag.Int("soak", 0, "plays to take through the core in the memory test")
+
+// BenchmarkCore is one play's whole life in the core, without sockets.
+func BenchmarkCore(b *testing.B) {
+	c, out := core(4)
+	now := int64(ready)
+	names := make([]string, 4096)
+	for i := range names {
+		names[i] = fmt.Sprint("v", i)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range b.N {
+		now += 300
+		a := Ask{Title: "clip", Copies: 4, Viewer: names[i%len(names)], Limit: now + 4*front.Second, Top: 2, Reply: NewReply()}
+		c.Ask(now, a)
+		for _, s := range out.setUps {
+			c.Started(now, s.Ref, 7, int64(i), s.Rung, front.Untold)
+			c.PlayEnded(now+10, s.Ref, front.Served)
+		}
+		out.setUps, out.ends, out.rungs, out.recall, out.hung = out.setUps[:0], out.ends[:0], out.rungs[:0], out.recall[:0], out.hung[:0]
+		if now >= c.WakeAt() {
+			c.Wake(now)
+		}
+	}
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "plays/s")
+}
