--- a/lab/audit/audit.go
+++ b/lab/audit/audit.go
@@ -244,7 +244,7 @@
 				a.rep.Doubled++
 			}
 			s.line, s.try, s.node, s.out = i, l.Try, l.Node, true
-		case tape.Started, tape.Errored, tape.Dropped:
+		case tape.Started, tape.Errored, tape.Dropped, tape.End:
 			if s := plays[l.Play]; s != nil && s.try == l.Try {
 				s.out, s.mayHave = false, i+1
 			}
--- a/lab/node.go
+++ b/lab/node.go
@@ -416,18 +416,23 @@
 }
 
 func (n *Node) endPlay(w http.ResponseWriter, r *http.Request) {
+	f, q := n.fleet, r.URL.Query()
+	try, err := strconv.Atoi(q.Get("try"))
+	if err != nil {
+		answer(w, http.StatusBadRequest, nodes.Refusal{Why: "try is needed"})
+		return
+	}
+	f.tape.Add(tape.Line{What: tape.End, Node: n.line.Name, Front: q.Get("front"), Play: r.PathValue("play"), Try: try, Note: q.Get("why")})
 	if !n.hushed(r.Context()) {
 		return
 	}
-	f, q := n.fleet, r.URL.Query()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	p := n.plays[r.PathValue("play")]
-	if p == nil || strconv.Itoa(p.Try) != q.Get("try") || p.front != q.Get("front") {
+	if p == nil || p.Try != try || p.front != q.Get("front") {
 		answer(w, http.StatusNotFound, nodes.Refusal{Why: "no such play"})
 		return
 	}
-	f.tape.Add(tape.Line{What: tape.End, Node: n.line.Name, Front: p.front, Play: p.Play.Play, Try: p.Try, Note: q.Get("why")})
 	delete(n.plays, p.Play.Play)
 	w.WriteHeader(http.StatusNoContent)
 }
--- /dev/null
+++ b/lab/rig_test.go
@@ -0,0 +1,262 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"gullrail/conf"
+	"gullrail/dash"
+	"gullrail/lab/tape"
+	"gullrail/nodes"
+	"gullrail/serve"
+	"gullrail/token"
+)
+
+const testService = `{
+  "fronts": 1, "rates_kb": [100, 200, 400], "worth": [0.3, 0.6, 1], "segment_ms": 100,
+  "cells": 4, "racks": 2, "kinds": [{"name": "std", "streams": 1000}], "zones": ["z"], "link_kb": 1000000, "uplink_kb": 10000000,
+  "products": [
+    {"name": "paid", "importance": 2, "target_ms": 500, "limit_ms": 1500, "paid": true, "floor": 1, "seats": 3},
+    {"name": "safe", "importance": 1, "target_ms": 500, "limit_ms": 1500}],
+  "titles": [{"name": "clip", "home": 0, "copies": 4}, {"name": "other", "home": 0, "copies": 4}, {"name": "only-0", "home": 0, "copies": 1}],
+  "reports": {"how": "none", "note_lag_ms": 200},
+  "rules": {"cold_share": 0.4, "cold_lasts_ms": 2000, "fall_multiple": 2.5, "fall_over_ms": 500, "drain_grace_ms": 500,
+    "budget": {"free": 100, "share": 1, "over_ms": 1000}}
+}`
+
+// rig is one front in this process with what it needs round it, on loopback.
+type rig struct {
+	t        *testing.T
+	set      *conf.Service
+	tape     *tape.Tape
+	fleet    *Fleet
+	registry *Registry
+	minter   *token.Minter
+	addr     string
+	front    *serve.Front
+	client   *http.Client
+	nodes    []*Node
+	stop     func()
+}
+
+// newRig starts n stand-in nodes and a front, and waits until it is ready. Further listed nodes may be given.
+func newRig(t *testing.T, n int, others ...nodes.Line) *rig {
+	t.Helper()
+	r := &rig{t: t, tape: tape.New(), client: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{}}}
+	doc, v, err := conf.Parse("service", []byte(testService))
+	if err != nil {
+		t.Fatal(err)
+	}
+	set := conf.ReadService(v)
+	if doc.Err() != nil {
+		t.Fatal(doc.Err())
+	}
+	r.set = &set
+	keys := []conf.Key{{ID: "k", Seed: bytes.Repeat([]byte{7}, 32), Signs: true}}
+	if r.minter, err = serve.Minter(keys); err != nil {
+		t.Fatal(err)
+	}
+	r.fleet = &Fleet{set: r.set, check: r.minter.Checker, tape: r.tape, setUpMs: [2]float64{1, 5}, idle: 20 * time.Second,
+		rnd: rand.New(rand.NewPCG(1, 2)), nodes: map[string]*Node{}, racks: []rack{{1e9, 1}, {1e9, 1}}}
+	r.registry = NewRegistry(r.tape, 0)
+	lines := others
+	for i := range n {
+		addr, err := freePort()
+		if err != nil {
+			t.Fatal(err)
+		}
+		nd := &Node{fleet: r.fleet, cell: i % 4, given: 1e6, slow: 1, line: nodes.Line{Name: fmt.Sprint("n", i), Address: addr,
+			Phase: "ready", Kind: "std", Zone: "z", Cell: i % 4, Weight: 1}}
+		r.fleet.nodes[nd.line.Name] = nd
+		r.nodes = append(r.nodes, nd)
+		lines = append(lines, nd.line)
+		if err := nd.start(false); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r.registry.Set(lines...)
+	if err := r.registry.Start("127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	r.front, err = serve.Listen(conf.Front{Name: "f", Zone: "z", Listen: "127.0.0.1:0", ListURL: "http://" + r.registry.addr + "/v1/list",
+		Seed: 1, Waiting: 64, Sockets: 1000, TokenMs: 60000, Keys: keys, Service: set}, time.Now().UnixNano(), zerolog.Nop())
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.addr = r.front.Addr()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.front.Run(ctx) }()
+	var once sync.Once
+	r.stop = func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		r.client.CloseIdleConnections()
+		r.stop()
+		for _, n := range r.nodes {
+			n.crash(tape.Crash)
+			n.wg.Wait()
+		}
+		r.registry.Stop()
+	})
+	r.eventually("the front is ready", func() bool { return r.get("/readyz").status == http.StatusOK })
+	return r
+}
+
+// eventually waits for an event, for as long as a very slow machine might need.
+func (r *rig) eventually(what string, happened func() bool) {
+	r.t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+		if happened() {
+			return
+		}
+	}
+	r.t.Fatalf("never: %s", what)
+}
+
+type reply struct {
+	status   int
+	body     string
+	header   http.Header
+	manifest dash.Manifest
+	play     string
+}
+
+func (r *rig) get(path string, headers ...string) reply {
+	r.t.Helper()
+	return r.getAt("http://"+r.addr+path, headers...)
+}
+
+func (r *rig) getAt(target string, headers ...string) reply {
+	r.t.Helper()
+	req, err := http.NewRequest(http.MethodGet, target, nil)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return reply{body: err.Error()}
+	}
+	defer resp.Body.Close()
+	body, _ := io.ReadAll(resp.Body)
+	out := reply{status: resp.StatusCode, body: string(body), header: resp.Header, play: resp.Header.Get(dash.PlayHeader)}
+	if out.status == http.StatusOK && strings.HasSuffix(strings.SplitN(target, "?", 2)[0], ".mpd") {
+		if out.manifest, err = dash.Decode(body); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+	return out
+}
+
+func (r *rig) ask(title, product, viewer string, more ...string) reply {
+	r.t.Helper()
+	return r.get("/v1/titles/" + title + "/manifest.mpd?product=" + product + "&viewer=" + viewer + strings.Join(more, ""))
+}
+
+// playing asks and insists that it plays.
+func (r *rig) playing(title, product, viewer string) reply {
+	r.t.Helper()
+	x := r.ask(title, product, viewer)
+	if x.status != http.StatusOK {
+		r.t.Fatalf("%s of %s: %d %s", viewer, title, x.status, x.body)
+	}
+	return x
+}
+
+func (r *rig) segment(base string, rung int) reply {
+	r.t.Helper()
+	return r.getAt(base + dash.RepresentationID(rung) + "/1.m4s")
+}
+
+// count is how many lines of a kind the tape holds for a play, or for all.
+func (r *rig) count(what, play string) (n int) {
+	for _, l := range r.tape.Lines() {
+		if l.What == what && (play == "" || l.Play == play) {
+			n++
+		}
+	}
+	return n
+}
+
+// tokenOf cuts the token out of a manifest's location.
+func tokenOf(m dash.Manifest) string {
+	return strings.TrimSuffix(strings.TrimPrefix(m.Location, "/v1/plays/"), "/manifest.mpd")
+}
+
+// scripted is a node that does what a test says with each set-up.
+type scripted struct {
+	line    nodes.Line
+	mu      sync.Mutex
+	setUps  int
+	connect int
+}
+
+// newScripted starts one at cell 0 with a handler for set-ups; it has the connection to itself.
+func newScripted(t *testing.T, name string, setUp func(c net.Conn, try int)) *scripted {
+	t.Helper()
+	s := &scripted{}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /v1/stream", func(w http.ResponseWriter, r *http.Request) {
+		json.NewEncoder(w).Encode(nodes.Note{Kind: nodes.Hello, Node: name, Life: 1})
+		for {
+			http.NewResponseController(w).Flush()
+			select {
+			case <-r.Context().Done():
+				return
+			case <-time.After(500 * time.Millisecond):
+				json.NewEncoder(w).Encode(nodes.Note{Kind: nodes.Beat})
+			}
+		}
+	})
+	mux.HandleFunc("POST /v1/plays/{play}", func(w http.ResponseWriter, r *http.Request) {
+		var ask nodes.SetUp
+		json.NewDecoder(r.Body).Decode(&ask)
+		s.mu.Lock()
+		s.setUps++
+		s.mu.Unlock()
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer c.Close()
+		setUp(c, ask.Try)
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := &http.Server{Handler: mux}
+	go server.Serve(l)
+	t.Cleanup(func() { server.Close() })
+	s.line = nodes.Line{Name: name, Address: l.Addr().String(), Phase: "ready", Kind: "std", Zone: "z", Weight: 1}
+	return s
+}
+
+func (s *scripted) got() int { s.mu.Lock(); defer s.mu.Unlock(); return s.setUps }
+
+func say(c net.Conn, status int, body string) {
+	fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Type: application/json\r\nContent-Length: %s\r\nConnection: close\r\n\r\n%s", status, strconv.Itoa(len(body)), body)
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -113,6 +113,10 @@
 	}
 }
 
+// Stall runs do on the core's goroutine, which does nothing else meanwhile: for rehearsing a front that
+// stands still.
+func (f *Front) Stall(do func()) { f.runner.Tell(func(int64, *session.Core) { do() }) }
+
 // Run serves until the context ends: then it takes no more requests, gives the answers that are owed,
 // and returns once nothing of it runs any more.
 func (f *Front) Run(ctx context.Context) error {
--- a/session/core.go
+++ b/session/core.go
@@ -188,7 +188,8 @@
 	nodeAt  map[string]int
 	freed   []int // node numbers that may name another
 	ended   map[string]finished
-	endings []finished // in their order
+	endings []finished // in their order, from oldest on
+	oldest  int
 	list    []front.Node
 	listed  []int
 	wakeAt  int64
@@ -721,15 +722,16 @@
 }
 
 func (c *Core) forget(now int64) {
-	k := 0
-	for k < len(c.endings) && (now-c.endings[k].at > endedFor || len(c.endings)-k > endedKept) {
-		if f := c.endings[k]; c.ended[f.id] == f {
+	old := func(f finished) bool { return now-f.at > endedFor || len(c.endings)-c.oldest > endedKept }
+	for c.oldest < len(c.endings) && old(c.endings[c.oldest]) {
+		if f := c.endings[c.oldest]; c.ended[f.id] == f {
 			delete(c.ended, f.id)
 		}
-		k++
+		c.oldest++
 	}
-	if k > 0 {
-		c.endings = c.endings[:copy(c.endings, c.endings[k:])]
+	if 2*c.oldest > len(c.endings) { // moved down seldom, or each wake would copy them all
+		c.endings = c.endings[:copy(c.endings, c.endings[c.oldest:])]
+		c.oldest = 0
 	}
 }
 
