--- /dev/null
+++ b/lab/load.go
@@ -0,0 +1,201 @@
+package lab
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"gullrail/conf"
+	"gullrail/dash"
+)
+
+// Load asks fronts for plays in an open loop: each request has its time, whether earlier ones were
+// answered or not, and its latency counts from that time, so that a front that stands still is not
+// spared the requests that came meanwhile.
+type Load struct {
+	Set    *conf.Service
+	Fronts []string
+	Rate   float64       // new plays a second
+	For    time.Duration // of asking
+	Hold   time.Duration // a play that plays is left after this
+	Seed   uint64
+	Name   string // of this run, so that its viewers are nobody else's
+}
+
+// LoadResult is what a load run saw.
+type LoadResult struct {
+	Asked, Plays, Declined, Failed, Broken int
+	Latency                                *hdrhistogram.Histogram // microseconds, of all that were answered
+	Before, After                          []map[string]float64    // metrics of each front
+	Took                                   time.Duration
+}
+
+const loadRedials = 4096 // connections kept to a front, so that the tool measures no handshakes
+
+// Run runs the load and waits for its last answer.
+func (l *Load) Run(ctx context.Context) (*LoadResult, error) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: loadRedials, MaxIdleConns: loadRedials * len(l.Fronts)},
+		Timeout: 30 * time.Second}
+	defer client.CloseIdleConnections()
+	res := &LoadResult{Latency: hdrhistogram.New(1, 60_000_000, 3)}
+	var err error
+	if res.Before, err = l.scrape(ctx, client); err != nil {
+		return nil, err
+	}
+	rnd := rand.New(rand.NewPCG(l.Seed, 4))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	start, at := time.Now(), 0.0
+	for n := 0; l.Rate > 0; n++ {
+		at += rnd.ExpFloat64() / l.Rate
+		due := start.Add(time.Duration(at * float64(time.Second)))
+		if due.Sub(start) >= l.For {
+			break
+		}
+		p := l.Set.Products[rnd.IntN(len(l.Set.Products))]
+		q := url.Values{"product": {p.Name}, "viewer": {fmt.Sprintf("%s-%d", l.Name, n)}}
+		target := "http://" + l.Fronts[n%len(l.Fronts)] + "/v1/titles/" + url.PathEscape(l.Set.Titles[rnd.IntN(len(l.Set.Titles))].Name) + "/manifest.mpd?" + q.Encode()
+		select {
+		case <-time.After(time.Until(due)):
+		case <-ctx.Done():
+			wg.Wait()
+			return nil, ctx.Err()
+		}
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			status, location := get(ctx, client, target)
+			took := time.Since(due)
+			mu.Lock()
+			res.Asked++
+			switch status {
+			case http.StatusOK:
+				res.Plays++
+			case http.StatusServiceUnavailable:
+				res.Declined++
+			case 0:
+				res.Broken++
+			default:
+				res.Failed++
+			}
+			if status != 0 {
+				res.Latency.RecordValue(max(1, took.Microseconds()))
+			}
+			mu.Unlock()
+			if status != http.StatusOK {
+				return
+			}
+			select {
+			case <-time.After(l.Hold):
+			case <-ctx.Done():
+				return
+			}
+			req, err := http.NewRequestWithContext(ctx, http.MethodDelete, location, nil)
+			if err != nil {
+				return
+			}
+			if resp, err := client.Do(req); err == nil {
+				resp.Body.Close()
+			}
+		}()
+	}
+	select {
+	case <-time.After(time.Until(start.Add(l.For))):
+	case <-ctx.Done():
+	}
+	if res.After, err = l.scrape(ctx, client); err != nil {
+		return nil, err
+	}
+	wg.Wait()
+	res.Took = time.Since(start)
+	return res, nil
+}
+
+func get(ctx context.Context, client *http.Client, target string) (status int, location string) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
+	if err != nil {
+		return 0, ""
+	}
+	resp, err := client.Do(req)
+	if err != nil {
+		return 0, ""
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, 1<<20))
+	if err != nil {
+		return 0, ""
+	}
+	if resp.StatusCode == http.StatusOK {
+		m, err := dash.Decode(body)
+		if err != nil {
+			return 0, ""
+		}
+		u, err := resp.Request.URL.Parse(strings.TrimSuffix(m.Location, "/manifest.mpd"))
+		if err != nil {
+			return 0, ""
+		}
+		return resp.StatusCode, u.String()
+	}
+	return resp.StatusCode, ""
+}
+
+// scrape reads the plain metrics of each front: those without labels but the front's name.
+func (l *Load) scrape(ctx context.Context, client *http.Client) ([]map[string]float64, error) {
+	var all []map[string]float64
+	for _, addr := range l.Fronts {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/metrics", nil)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := client.Do(req)
+		if err != nil {
+			return nil, fmt.Errorf("load: %w", err)
+		}
+		m := map[string]float64{}
+		lines := bufio.NewScanner(resp.Body)
+		for lines.Scan() {
+			name, val, _ := strings.Cut(lines.Text(), " ")
+			name, _, _ = strings.Cut(name, "{")
+			if v, err := strconv.ParseFloat(val, 64); err == nil {
+				m[name] = v
+			}
+		}
+		resp.Body.Close()
+		all = append(all, m)
+	}
+	return all, nil
+}
+
+// Grew is how much a metric grew over the run, all fronts together.
+func (r *LoadResult) Grew(name string) (sum float64) {
+	for i := range r.After {
+		sum += r.After[i][name] - r.Before[i][name]
+	}
+	return sum
+}
+
+// Last is a metric at the end of asking, all fronts together.
+func (r *LoadResult) Last(name string) (sum float64) {
+	for i := range r.After {
+		sum += r.After[i][name]
+	}
+	return sum
+}
+
+// Fronts are the addresses of the fronts that Up started.
+func (r *Rehearsal) Fronts() (addrs []string) {
+	for _, f := range r.fronts {
+		addrs = append(addrs, f.addr)
+	}
+	return addrs
+}
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -77,6 +77,50 @@
 // Run runs the day to its end, or to that of the context. All that it started has ended when it returns.
 func (r *Rehearsal) Run(ctx context.Context) (out *Outcome, err error) {
 	began := time.Now()
+	d := r.Day
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		r.wg.Wait()
+		if e := r.Down(); e != nil && err == nil {
+			err = e
+		}
+	}()
+	if err := r.Up(ctx); err != nil {
+		return nil, err
+	}
+	players := NewPlayers(&d.Service, r.tape)
+	viewers, endViewers := context.WithCancel(ctx)
+	defer endViewers()
+	start := time.Now()
+	for _, f := range d.Faults {
+		r.wg.Add(1)
+		go func() { defer r.wg.Done(); r.inject(ctx, start, f) }()
+	}
+	r.arrive(viewers, start, players)
+	longest := 0.0
+	for _, p := range d.Service.Products {
+		longest = max(longest, p.LimitMs)
+	}
+	select { // what was asked last is still to be answered
+	case <-time.After(time.Duration(longest)*time.Millisecond + time.Second):
+	case <-ctx.Done():
+	}
+	lined := r.tape.Lines()
+	endViewers()
+	if ctx.Err() != nil {
+		return nil, fmt.Errorf("rehearsal: %w", context.Cause(ctx))
+	}
+	out = &Outcome{Report: audit.Check(&d.Service, lined), Lines: lined, Took: time.Since(began)}
+	players.Seen.mu.Lock()
+	out.Short = float64(players.Seen.Short) / max(1, float64(players.Seen.Segments))
+	players.Seen.mu.Unlock()
+	return out, nil
+}
+
+// Up starts the nodes, the list service and the fronts, and waits until the fronts are ready. Down is owed
+// after it, also when it fails.
+func (r *Rehearsal) Up(ctx context.Context) error {
 	d := r.Day
 	r.tape = tape.New()
 	r.rnd = rand.New(rand.NewPCG(d.Seed, 1))
@@ -84,13 +128,13 @@
 	if r.Say == nil {
 		r.Say = func(string, ...any) {}
 	}
-	keys := []conf.Key{{ID: "rehearsal", Seed: make([]byte, 32), Signs: true}}
-	for i := range keys[0].Seed {
-		keys[0].Seed[i] = byte(r.rnd.UintN(256))
+	key := conf.Key{ID: "rehearsal", Seed: make([]byte, 32), Signs: true}
+	for i := range key.Seed {
+		key.Seed[i] = byte(r.rnd.UintN(256))
 	}
-	minter, err := serve.Minter(keys)
+	minter, err := serve.Minter([]conf.Key{key})
 	if err != nil {
-		return nil, err
+		return err
 	}
 	r.fleet = &Fleet{set: &d.Service, check: minter.Checker, tape: r.tape, setUpMs: d.SetUpMs, guard: d.Guard,
 		idle: time.Duration(d.IdleMs) * time.Millisecond, rnd: rand.New(rand.NewPCG(d.Seed, 2)), nodes: map[string]*Node{}}
@@ -101,76 +145,45 @@
 		}
 		r.fleet.racks = append(r.fleet.racks, rack{given * r.about(), 1})
 	}
-	ctx, cancel := context.WithCancel(ctx)
 	r.registry = NewRegistry(r.tape, time.Duration(d.ListLateMs)*time.Millisecond)
-	defer func() {
-		cancel()
-		r.wg.Wait()
-		for _, n := range r.all {
-			n.crash(tape.Crash)
-			n.wg.Wait()
-		}
-		if r.registry.server != nil {
-			r.registry.Stop()
-		}
-	}()
 	var lines []nodes.Line
 	for i := range d.Nodes {
 		n, err := r.newNode(fmt.Sprintf("n%d", i), i%d.Service.Cells, i)
 		if err != nil {
-			return nil, err
+			return err
 		}
 		r.byNumber = append(r.byNumber, n)
 		lines = append(lines, n.line)
 		if err := n.start(false); err != nil {
-			return nil, err
+			return err
 		}
 	}
 	r.registry.Set(lines...)
 	addr, err := freePort()
 	if err != nil {
-		return nil, err
+		return err
 	}
 	if err := r.registry.Start(addr); err != nil {
-		return nil, err
+		return err
 	}
-	defer func() {
-		for _, f := range r.fronts {
-			if e := f.stop(); e != nil && err == nil {
-				err = e
-			}
+	return r.startFronts(ctx, key)
+}
+
+// Down ends all that Up started, the fronts in order first, and returns the first that did not end well.
+func (r *Rehearsal) Down() (err error) {
+	for _, f := range r.fronts {
+		if e := f.stop(); e != nil && err == nil {
+			err = e
 		}
-	}()
-	if err := r.startFronts(ctx, keys[0]); err != nil {
-		return nil, err
 	}
-	players := NewPlayers(&d.Service, r.tape)
-	viewers, endViewers := context.WithCancel(ctx)
-	defer endViewers()
-	start := time.Now()
-	for _, f := range d.Faults {
-		r.wg.Add(1)
-		go func() { defer r.wg.Done(); r.inject(ctx, start, f) }()
-	}
-	r.arrive(viewers, start, players)
-	longest := 0.0
-	for _, p := range d.Service.Products {
-		longest = max(longest, p.LimitMs)
-	}
-	select { // what was asked last is still to be answered
-	case <-time.After(time.Duration(longest)*time.Millisecond + time.Second):
-	case <-ctx.Done():
+	for _, n := range r.all {
+		n.crash(tape.Crash)
+		n.wg.Wait()
 	}
-	lined := r.tape.Lines()
-	endViewers()
-	if ctx.Err() != nil {
-		return nil, fmt.Errorf("rehearsal: %w", context.Cause(ctx))
+	if r.registry != nil && r.registry.server != nil {
+		r.registry.Stop()
 	}
-	out = &Outcome{Report: audit.Check(&d.Service, lined), Lines: lined, Took: time.Since(began)}
-	players.Seen.mu.Lock()
-	out.Short = float64(players.Seen.Short) / max(1, float64(players.Seen.Segments))
-	players.Seen.mu.Unlock()
-	return out, nil
+	return err
 }
 
 // about draws a factor around 1, by the day's unevenness.
--- /dev/null
+++ b/serve/metrics.go
@@ -0,0 +1,80 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"gullrail/session"
+)
+
+// collector turns the core's counts into metrics when asked.
+type collector struct {
+	front *Front
+	gauge map[string]*prometheus.Desc
+	count map[string]*prometheus.Desc
+}
+
+const asksFor = 2 * time.Second // a scrape that the core does not answer by then tells the rest
+
+func (f *Front) metrics() http.Handler {
+	c := &collector{front: f, gauge: map[string]*prometheus.Desc{}, count: map[string]*prometheus.Desc{}}
+	describe := func(into map[string]*prometheus.Desc, name, help string) {
+		into[name] = prometheus.NewDesc("gullrail_"+name, help, nil, prometheus.Labels{"front": f.set.Name})
+	}
+	describe(c.gauge, "ready", "1 once the front may take plays.")
+	describe(c.gauge, "plays_in_hand", "Plays waiting, being set up or playing.")
+	describe(c.gauge, "viewers_known", "Viewers with a number.")
+	describe(c.gauge, "titles_known", "Titles with a number.")
+	describe(c.gauge, "nodes_known", "Playout nodes with a number.")
+	describe(c.gauge, "requests_waiting", "Requests at the intake gate.")
+	describe(c.count, "taken_total", "Plays taken by the module.")
+	describe(c.count, "plays_total", "Answered: plays.")
+	describe(c.count, "declined_total", "Answered: declined.")
+	describe(c.count, "failed_total", "Answered: failed.")
+	describe(c.count, "denied_total", "Denied, not taken.")
+	describe(c.count, "moved_total", "Plays moved off short links.")
+	describe(c.count, "lost_total", "Plays lost with their node.")
+	describe(c.count, "adopted_total", "Plays of an earlier life taken over.")
+	describe(c.count, "orphans_total", "Allocations found running that nobody wants, and ended.")
+	describe(c.count, "turned_away_total", "Requests turned away at the intake gate.")
+	describe(c.count, "core_busy_seconds_total", "Time that the core worked.")
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(c, collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return promhttp.HandlerFor(reg, promhttp.HandlerOpts{})
+}
+
+func (c *collector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range c.gauge {
+		out <- d
+	}
+	for _, d := range c.count {
+		out <- d
+	}
+}
+
+func (c *collector) Collect(out chan<- prometheus.Metric) {
+	ctx, cancel := context.WithTimeout(context.Background(), asksFor)
+	defer cancel()
+	var n session.Counts = c.front.Counts(ctx)
+	turned, waiting := c.front.runner.Turned()
+	ready := 0.0
+	if n.Ready {
+		ready = 1
+	}
+	for name, v := range map[string]float64{"ready": ready, "plays_in_hand": float64(n.InHand), "viewers_known": float64(n.Viewers),
+		"titles_known": float64(n.Titles), "nodes_known": float64(n.Nodes), "requests_waiting": float64(waiting)} {
+		out <- prometheus.MustNewConstMetric(c.gauge[name], prometheus.GaugeValue, v)
+	}
+	for name, v := range map[string]float64{"taken_total": float64(n.Taken), "plays_total": float64(n.Plays),
+		"declined_total": float64(n.Declined), "failed_total": float64(n.Failed), "denied_total": float64(n.Denied),
+		"moved_total": float64(n.Moved), "lost_total": float64(n.Lost), "adopted_total": float64(n.Adopted),
+		"orphans_total": float64(n.Orphans), "turned_away_total": float64(turned),
+		"core_busy_seconds_total": c.front.runner.Busy().Seconds()} {
+		out <- prometheus.MustNewConstMetric(c.count[name], prometheus.CounterValue, v)
+	}
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -58,6 +58,7 @@
 	life := time.Duration(set.TokenMs * float64(time.Millisecond))
 	mux.Handle("/v1/", dash.NewFront(set.Name, service, minter, life, f.runner, log))
 	mux.HandleFunc("GET /readyz", f.ready)
+	mux.Handle("GET /metrics", f.metrics())
 	f.server = &http.Server{Handler: mux, ReadHeaderTimeout: session.Duration(intake.HeaderFor),
 		IdleTimeout: session.Duration(intake.IdleFor), MaxHeaderBytes: 16 << 10,
 		WriteTimeout: longest(service) + session.Duration(intake.AnswerFor)}
--- a/session/runner.go
+++ b/session/runner.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"gullrail/front"
@@ -54,6 +55,8 @@
 	gate *intake.Gate
 	shut bool
 	turn uint64 // requests turned away at the gate
+
+	busy atomic.Int64 // nanoseconds that the core worked
 }
 
 // NewRunner makes a runner; Run runs it. The core must not be used by anyone else.
@@ -140,13 +143,18 @@
 		case <-r.poke:
 		case <-timer.C:
 		}
+		began := time.Now()
 		r.drain()
 		if now := r.clock.Now(); now >= core.WakeAt() {
 			core.Wake(now)
 		}
+		r.busy.Add(int64(time.Since(began)))
 	}
 }
 
+// Busy is how long the core has worked so far.
+func (r *Runner) Busy() time.Duration { return time.Duration(r.busy.Load()) }
+
 // drain takes all events that wait, then requests, and again while there are requests.
 func (r *Runner) drain() {
 	for {
