--- /dev/null
+++ b/conf/conf_test.go
@@ -0,0 +1,101 @@
+package conf
+
+import (
+	"errors"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+const good = `{ // a front
+  "front": {"name": "f0", "number": 0, "zone": "z", "listen": "127.0.0.1:0"},
+  "list": {"url": "http://127.0.0.1:1/v1/list"},
+  "keys": [{"id": "k", "seed": "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=", "signs": true}],
+  "service": {
+    "fronts": 2, "rates_kb": [100, 200], "worth": [0.5, 1], "cells": 4, "racks": 2, "link_kb": 1000,
+    "kinds": [{"name": "std", "streams": 10}], "zones": ["z"],
+    "products": [{"name": "p", "importance": 1, "target_ms": 1000, "limit_ms": 4000}],
+    "titles": [{"name": "t", "home": 0, "copies": 2}],
+    "reports": {"how": "probe"},
+    "rules": {"cold_share": 0.4, "cold_lasts_ms": 10000, "fall_multiple": 2, "fall_over_ms": 1000, "drain_grace_ms": 500},
+  },
+}`
+
+func TestSettingsWithCommentsAndDefaults(t *testing.T) {
+	f, err := ParseFront("f.jsonc", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := f.Service
+	if f.Waiting != 256 || s.Tries != 4 || s.Products[0].Top != 1 || s.Products[0].Rate != 1 || s.BudgetOverMs != 0 {
+		t.Fatalf("%+v", f)
+	}
+	terms := s.Terms(1, "z")
+	if terms["front"][0] != 1 || terms["product.target"][0] != 10000 || terms["cold.lasts"][0] != 100000 || terms["zone"][0] != 0 {
+		t.Fatalf("%v", terms)
+	}
+	if _, given := terms["budget.over"]; given {
+		t.Fatal("a budget that nobody stated")
+	}
+}
+
+func TestEachMistakeIsToldWithItsLineAndField(t *testing.T) {
+	for _, c := range []struct{ old, new, want string }{
+		{`"name": "f0"`, `"name": ""`, "f.jsonc:2: front.name: a text is needed here"},
+		{`"number": 0`, `"number": 2`, "f.jsonc:2: front.number: fronts are numbered from 0 and service.fronts is 2"},
+		{`"number": 0`, `"number": 0.5`, "f.jsonc:2: front.number: a whole number is needed here"},
+		{`"zone": "z", "listen"`, `"zone": "y", "listen"`, `f.jsonc:2: front.zone: "y" is none of z`},
+		{`"127.0.0.1:0"`, `"here"`, `f.jsonc:2: front.listen: "here" is not host:port`},
+		{`"http://127.0.0.1:1/v1/list"`, `"ftp://x"`, `f.jsonc:3: list.url: "ftp://x" is no http address`},
+		{`, "signs": true`, ``, "f.jsonc:4: keys: exactly one key signs, not 0"},
+		{`AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=`, `AA==`, "f.jsonc:4: keys[0].seed: 32 bytes in base64 are needed here"},
+		{`"fronts": 2`, `"fronts": "2"`, "f.jsonc:6: service.fronts: a number from 1 to 1.048576e+06 is needed here"},
+		{`"worth": [0.5, 1]`, `"worth": [1]`, "f.jsonc:6: service.worth: 1 rungs have a worth, 2 a rate"},
+		{`[100, 200]`, `[200, 100]`, "f.jsonc:6: service.rates_kb: rung 1 is no higher than the one below it"},
+		{`"limit_ms": 4000`, `"limit_ms": 400`, "f.jsonc:8: service.products[0].limit_ms: is shorter than the first-frame target"},
+		{`"limit_ms": 4000`, `"limit_ms": 4000, "seat": 1`, "f.jsonc:8: service.products[0].seat: no such field"},
+		{`"copies": 2}`, `"copies": 2}, {"name": "t", "home": 0, "copies": 1}`, `f.jsonc:9: service.titles[1].name: "t" stands twice`},
+		{`"home": 0`, `"home": 9`, "f.jsonc:9: service.titles[0].home: a number from 0 to 3 is needed here"},
+		{`"how": "probe"`, `"how": "ask"`, `f.jsonc:10: service.reports.how: "ask" is none of probe, answers, none`},
+		{`"drain_grace_ms": 500`, `"drain_grace_ms": 500, "drain_grace_ms": 1`, "f.jsonc:11: service.rules.drain_grace_ms: given twice"},
+		{`"reports": {"how": "probe"},`, ``, "f.jsonc:5: service.reports: an object is needed here"},
+		{`"list": {`, `"list": `, "f.jsonc:3: not JSON with comments"},
+	} {
+		text := strings.Replace(good, c.old, c.new, 1)
+		if text == good {
+			t.Fatalf("%q is not in the settings", c.old)
+		}
+		_, err := ParseFront("f.jsonc", []byte(text))
+		switch {
+		case c.want == "" && err != nil:
+			t.Errorf("%q: %v", c.new, err)
+		case c.want != "" && (err == nil || !strings.Contains("\n"+err.Error(), "\n"+c.want)):
+			t.Errorf("%q:\n got %v\nwant %s", c.new, err, c.want)
+		}
+	}
+}
+
+func TestAllMistakesInOneRun(t *testing.T) {
+	text := strings.NewReplacer(`"name": "f0"`, `"name": 1`, `"cells": 4`, `"cells": 0`, `"streams": 10`, `"streams": -1`).Replace(good)
+	_, err := ParseFront("f.jsonc", []byte(text))
+	var ms Mistakes
+	if !errors.As(err, &ms) || len(ms) < 3 || ms[0].Line != 2 || ms[len(ms)-1].Line < 7 {
+		t.Fatalf("got %v", err)
+	}
+	if _, err := ReadFront(filepath.Join(t.TempDir(), "none")); !errors.Is(err, os.ErrNotExist) {
+		t.Fatalf("a missing file: %v", err)
+	}
+}
+
+func FuzzParseFront(f *testing.F) {
+	f.Add(good)
+	f.Add("{")
+	f.Add(`[{"a":1e400}]`)
+	f.Fuzz(func(t *testing.T, s string) {
+		set, err := ParseFront("f", []byte(s))
+		if err == nil && (set.Name == "" || len(set.Service.Products) == 0 || set.Number >= set.Service.Fronts) {
+			t.Fatalf("taken: %+v", set)
+		}
+	})
+}
--- /dev/null
+++ b/nodes/wire_test.go
@@ -0,0 +1,97 @@
+package nodes
+
+import (
+	"testing"
+
+	"gullrail/conf"
+	"gullrail/front"
+	"gullrail/session"
+)
+
+func TestLoadReportsRoundAndInBothForms(t *testing.T) {
+	for _, l := range []front.Load{{Streams: 7, Link: 0.4, Uplink: 1.25}, {Streams: -1, Link: 0, Uplink: -1}, front.Untold} {
+		if got := ParseLoad(FormatLoad(l)); got != l {
+			t.Errorf("%+v came back as %+v", l, got)
+		}
+	}
+	if got := ParseLoad(`JSON {"application_utilization": 0.4, "named_metrics": {"uplink": 1.25, "other": 3}}`); got != (front.Load{Streams: -1, Link: 0.4, Uplink: 1.25}) {
+		t.Errorf("JSON: %+v", got)
+	}
+	for _, s := range []string{"", "TEXT", "TEXT application_utilization=NaN", "TEXT application_utilization=-3", "JSON {", "BIN abc"} {
+		if got := ParseLoad(s); got != front.Untold {
+			t.Errorf("%q says %+v", s, got)
+		}
+	}
+}
+
+func TestNotesThatAreNotTaken(t *testing.T) {
+	for _, s := range []string{`{`, `{"kind":"x"}`, `{"kind":"hello"}`, `{"kind":"ended","play":"p"}`, `{"kind":"share"}`,
+		`{"kind":"load","play":"p","link":1e99}`, `{"kind":"hello","node":"n","life":1,"plays":[{"play":"p"}]}`} {
+		if _, err := ParseNote([]byte(s)); err == nil {
+			t.Errorf("taken: %s", s)
+		}
+	}
+}
+
+func service() *conf.Service {
+	return &conf.Service{Cells: 4, Kinds: []conf.Kind{{Name: "std", Streams: 1}}, Zones: []string{"z"}}
+}
+
+func TestListLinesThatAreNotTaken(t *testing.T) {
+	const line = `{"version":1,"whole":true,"nodes":[{"name":"n","address":"127.0.0.1:1","phase":"ready","kind":"std","zone":"z","cell":3,"weight":1}]}`
+	clock := session.NewClock()
+	if _, lines, err := ParseChange([]byte(line), service(), clock); err != nil || len(lines) != 1 || lines[0].Cell != 3 {
+		t.Fatalf("%v %v", lines, err)
+	}
+	for _, c := range [][2]string{{`"ready"`, `"busy"`}, {`"std"`, `"big"`}, {`"zone":"z"`, `"zone":"y"`}, {`"cell":3`, `"cell":4`},
+		{`"weight":1`, `"weight":0`}, {`"127.0.0.1:1"`, `"x"`}, {`"name":"n"`, `"name":""`}, {`"version":1`, `"version":-1`}} {
+		bad := replace(line, c[0], c[1])
+		if _, _, err := ParseChange([]byte(bad), service(), clock); err == nil {
+			t.Errorf("taken: %s", bad)
+		}
+	}
+}
+
+func replace(s, old, new string) string {
+	for i := 0; i+len(old) <= len(s); i++ {
+		if s[i:i+len(old)] == old {
+			return s[:i] + new + s[i+len(old):]
+		}
+	}
+	panic(old)
+}
+
+func FuzzParseNote(f *testing.F) {
+	f.Add(`{"kind":"hello","node":"n","life":1,"plays":[{"play":"p","title":"t","viewer":"v"}]}`)
+	f.Add(`{"kind":"load","play":"p","link":0.5,"uplink":-1}`)
+	f.Fuzz(func(t *testing.T, s string) {
+		n, err := ParseNote([]byte(s))
+		if err == nil && (n.Kind == "" || n.Link > 1e6 || n.Try < 0) {
+			t.Fatalf("taken: %+v", n)
+		}
+	})
+}
+
+func FuzzParseLoad(f *testing.F) {
+	f.Add("TEXT application_utilization=0.5, named_metrics.uplink=1")
+	f.Add(`JSON {"named_metrics":{"streams":3}}`)
+	f.Fuzz(func(t *testing.T, s string) {
+		l := ParseLoad(s)
+		if got := ParseLoad(FormatLoad(l)); l != l || got.Link < 0 != (l.Link < 0) {
+			t.Fatalf("%+v came back as %+v", l, got)
+		}
+	})
+}
+
+func FuzzParseChange(f *testing.F) {
+	f.Add(`{"version":1,"nodes":[{"name":"n","address":"h:1","phase":"gone","kind":"std","zone":"z","weight":1}]}`)
+	set, clock := service(), session.NewClock()
+	f.Fuzz(func(t *testing.T, s string) {
+		_, lines, err := ParseChange([]byte(s), set, clock)
+		for _, l := range lines {
+			if err == nil && (l.Cell < 0 || l.Cell >= set.Cells || l.Kind != 0 || l.Zone != 0 || l.Started < 0) {
+				t.Fatalf("taken: %+v", l)
+			}
+		}
+	})
+}
