Requests read after a stall are taken as old as the stall

A front that stood still for 2 s read a request only then, counted its 5 s from there, and answered 6.8 s after the client had asked. The gate now hears a beat each 100 ms; a request read after a gap over 300 ms, or within 500 ms after one, may have waited through it and loses that much of its limit. Harm: new requests right after a stall get less time than they have. Guards against any pause of the process, the machine or its collector. Test: the gate's own.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -24,6 +24,9 @@
 	spreadLeast = 1 * front.Second  // advice to come back: the least that HTTP's whole seconds can say
 	spreadMost  = 4 * front.Second  // and the most: a viewer at a kiosk waits no longer
 	serviceOver = 16                // a rate of service is the mean over so many plays taken
+	BeatEvery   = 100 * front.Ms    // how often the gate is told that the front runs
+	stallOver   = 300 * front.Ms    // a longer gap between beats is a stall: pauses of a busy machine are shorter
+	stallTail   = 500 * front.Ms    // after one, requests read may have waited through it: it takes so long to read them
 	HeaderFor   = 5 * front.Second  // a client takes no longer to send its request
 	AnswerFor   = 10 * front.Second // nor to take its answer, however slowly it reads
 	IdleFor     = 30 * front.Second // a kept connection without a request is closed
@@ -71,6 +74,9 @@
 	gap     float64    // mean time between plays taken while some wait
 	lastOut int64
 	busy    bool
+	beatAt  int64 // last beat; 0 is none yet
+	stall   int64 // length of the last stall
+	stallTo int64 // when it ended
 }
 
 type client struct {
@@ -91,12 +97,12 @@
 func Limit(now, limit int64) int64 { return max(now, limit-reserve) }
 
 // Offer brings a request. What it says holds for the request itself; gone is another that had to
-// make room, or nil.
+// make room, or nil. The request's limit is brought forward where it may have lain unread.
 func (g *Gate) Offer(now int64, a *Ask) (v Verdict, comeBack int64, gone *Turned) {
 	if !g.earned(now, a.Client) {
 		return Flood, g.advice(), nil
 	}
-	if a.Limit-now < leastLeft+reserve {
+	if a.Limit -= g.waited(now); a.Limit-now < leastLeft+reserve {
 		return TooLate, g.advice(), nil
 	}
 	if len(g.queue) >= g.most {
@@ -115,6 +121,28 @@
 	return Waits, 0, gone
 }
 
+// Beat says that the front runs. A long gap since the one before means that the whole process stood still.
+func (g *Gate) Beat(now int64) {
+	if gap := now - g.beatAt; g.beatAt > 0 && gap > stallOver {
+		g.stall, g.stallTo = gap, now
+	}
+	g.beatAt = now
+}
+
+// waited is how long a request read now may have lain unread. Guards against answers that come after the
+// client's time limit because a front that stood still counts from when it read the request. It harms
+// requests that come new within stallTail after a stall: they are given less time than they have.
+func (g *Gate) waited(now int64) int64 {
+	age := int64(0)
+	if gap := now - g.beatAt; g.beatAt > 0 && gap > stallOver { // read before the beat that will notice
+		age = gap
+	}
+	if g.stall > 0 && now-g.stallTo < stallTail {
+		age = max(age, g.stall)
+	}
+	return age
+}
+
 // Next takes the request that matters most out of the queue, or nil. Those whose time has run out
 // while they waited come first, one a call, to be answered as turned away.
 func (g *Gate) Next(now int64) (a *Ask, late *Turned) {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -105,3 +105,34 @@
 		t.Fatal("withdrawn once, and only once")
 	}
 }
+
+func TestRequestsReadAfterAStallAreTakenAsOldAsTheStall(t *testing.T) {
+	g := New(99, 1)
+	limit := func(at int64, left int64) (Verdict, int64) {
+		a := &Ask{Client: fmt.Sprint(at, left), Limit: at + left}
+		v, _, _ := g.Offer(at, a)
+		return v, at + left - a.Limit
+	}
+	g.Beat(now)
+	if _, off := limit(now+stallOver, 5*front.Second); off != 0 {
+		t.Fatalf("a pause is no stall: %d off", off)
+	}
+	woke := now + 2*front.Second
+	if _, off := limit(woke, 5*front.Second); off != 2*front.Second {
+		t.Fatalf("read before the beat that notices: %d off", off)
+	}
+	g.Beat(woke)
+	for at := woke; at < woke+stallTail; at += BeatEvery {
+		g.Beat(at)
+	}
+	if _, off := limit(woke+stallTail-1, 5*front.Second); off != 2*front.Second {
+		t.Fatalf("read right after: %d off", off)
+	}
+	if v, _ := limit(woke+1, 2*front.Second); v != TooLate {
+		t.Fatalf("its time may be up: %v", v)
+	}
+	g.Beat(woke + stallTail)
+	if _, off := limit(woke+stallTail, 5*front.Second); off != 0 {
+		t.Fatalf("later ones are new: %d off", off)
+	}
+}
--- a/session/runner.go
+++ b/session/runner.go
@@ -125,10 +125,14 @@
 	return r.turn, r.gate.Len()
 }
 
-// Run runs the core until the context ends, then turns away what still waits at the gate. The clock
+// Run runs the core until the context ends, which it must at last, then turns away what still waits at the gate. The clock
 // is read once for each call on the core.
 func (r *Runner) Run(ctx context.Context, core *Core) error {
 	r.core = core
+	var beats sync.WaitGroup
+	beats.Add(1)
+	go func() { defer beats.Done(); r.beat(ctx) }()
+	defer beats.Wait()
 	defer r.end()
 	defer core.Close()
 	timer := time.NewTimer(0)
@@ -152,6 +156,22 @@
 	}
 }
 
+// beat tells the gate that the process runs, whatever the core is doing.
+func (r *Runner) beat(ctx context.Context) {
+	every := time.NewTicker(Duration(intake.BeatEvery))
+	defer every.Stop()
+	for {
+		r.mu.Lock()
+		r.gate.Beat(r.clock.Now())
+		r.mu.Unlock()
+		select {
+		case <-every.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Busy is how long the core has worked so far.
 func (r *Runner) Busy() time.Duration { return time.Duration(r.busy.Load()) }
 
@@ -180,7 +200,7 @@
 				turnAway(late)
 			case a != nil:
 				ask := a.Value.(Ask)
-				ask.Limit = intake.Limit(now, ask.Limit)
+				ask.Limit = intake.Limit(now, a.Limit)
 				r.core.Ask(now, ask)
 			default:
 				return
