--- /dev/null
+++ b/parting/parting.go
@@ -0,0 +1,91 @@
+// Package parting decides how a front end gives up what it holds when it ends in order: which requests
+// still wait for their answer and for how long, how the others are answered, and when the plays that play
+// are let go where nobody will take them over. No I/O and no clock: times are int64 tenths of a
+// millisecond, as in package front, and come in as arguments.
+package parting
+
+import (
+	"sort"
+
+	"gullrail/front"
+)
+
+const (
+	atOnce   = 200 * front.Ms // with less time than this to the end nothing is waited for
+	lastWord = 100 * front.Ms // kept before the end, for answers to reach their clients
+	pace     = 50 * front.Ms  // between two plays let go: twenty a second come back to the other fronts
+)
+
+// Verdict is what becomes of a request that is not yet answered.
+type Verdict uint8
+
+const (
+	Wait    Verdict = iota // for the node's word, until Deadline
+	Decline                // answer it as declined: nothing of it can have run, or it is safe to repeat
+	Fail                   // answer it as failed: something of it may have run
+)
+
+// Request is a request that is not yet answered.
+type Request struct {
+	Limit   int64 // when its client gives up
+	Paid    bool
+	Out     bool // an allocation is out
+	MayHave bool // an earlier one may have run
+}
+
+// Deadline is until when a front that is to end at a time waits for the nodes' words.
+func Deadline(end int64) int64 { return end - lastWord }
+
+// Judge decides on a request at a time before the end. One whose set-up is out waits for its node: it may
+// play, and a paid one is paid for. One that waits for a node's turn is answered at once, as no new set-up
+// is begun.
+func Judge(now, end int64, r Request) Verdict {
+	last := min(Deadline(end), r.Limit)
+	switch {
+	case r.Out && last-now >= atOnce && now < last:
+		return Wait
+	case r.Paid && (r.Out || r.MayHave):
+		return Fail
+	}
+	return Decline
+}
+
+// Expired decides on a request whose set-up is still out when the front can't wait longer.
+func Expired(r Request) Verdict {
+	if r.Paid && (r.Out || r.MayHave) {
+		return Fail
+	}
+	return Decline
+}
+
+// Playing is a play that plays.
+type Playing struct {
+	Importance float64
+	Key        int // any number that tells plays apart, for a steady order
+}
+
+// Release is when each of some plays is let go by a front that nobody takes over from, least important
+// first, so that their viewers don't all come to the other fronts at once: evenly up to the end, and no faster than
+// the pace unless the end is too near for it. It returns the plays' order and their times.
+func Release(now, end int64, plays []Playing) (order []int, at []int64) {
+	order = make([]int, len(plays))
+	for i := range order {
+		order[i] = i
+	}
+	sort.Slice(order, func(a, b int) bool {
+		p, q := plays[order[a]], plays[order[b]]
+		if p.Importance != q.Importance {
+			return p.Importance < q.Importance
+		}
+		return p.Key < q.Key
+	})
+	gap := int64(pace)
+	if n := int64(len(plays)); n > 0 {
+		gap = min(gap, max(0, Deadline(end)-now)/n)
+	}
+	at = make([]int64, len(plays))
+	for i := range at {
+		at[i] = now + int64(i)*gap
+	}
+	return order, at
+}
