An orderly end by decision, one process for a state folder, epochs that only grow

Need: a front as a long-running process. SIGTERM now shuts the gate with advice when to come back, answers what is not waited for, waits for set-ups that are out until end_within_ms, and, with retire, lets its plays go one by one; else their nodes keep them for the next life. A state folder is held by a lock of the kernel's and keeps the epoch, so that a clock set back can't make a new life older than the last. First dials to nodes are spread, so that many fronts starting at once don't dial a node together.

--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -51,7 +51,12 @@
 		return wrong{err}
 	}
 	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("front", set.Name).Logger()
-	f, err := serve.Listen(set, time.Now().UnixNano(), log)
+	claim, err := serve.NewClaim(set.State)
+	if err != nil {
+		return err
+	}
+	defer claim.Release()
+	f, err := serve.Listen(set, claim.Epoch, log)
 	if err != nil {
 		return err
 	}
--- a/conf/service.go
+++ b/conf/service.go
@@ -199,6 +199,12 @@
 // Product is the name of a product's number; ProductNumber and Title look a name up.
 func (s *Service) Product(number int) string { return s.Products[number].Name }
 
+// Paid tells that a product is paid for at set-up.
+func (s *Service) Paid(number int) bool { return s.Products[number].Paid }
+
+// Importance is a product's.
+func (s *Service) Importance(number int) float64 { return s.Products[number].Importance }
+
 // ProductNumber is the number of a product.
 func (s *Service) ProductNumber(name string) (int, bool) {
 	for i := range s.Products {
@@ -236,6 +242,9 @@
 	Waiting int    // requests that wait at most
 	Sockets int    // connections of players at most
 	TokenMs float64
+	State   string  // folder for what outlives the process; empty is none
+	EndMs   float64 // an orderly end takes no longer
+	Retire  bool    // at its end it lets its plays go, as nobody takes its place
 	Keys    []Key
 	Service Service
 }
@@ -280,6 +289,12 @@
 	f.Log = e.At("log").Choice("info", "debug", "warn", "error")
 	f.Waiting, f.Sockets = e.At("waiting").WholeOr(256, 1, 1<<20), e.At("sockets").WholeOr(8192, 1, 1<<20)
 	f.TokenMs = e.At("token_ms").NumberOr(600_000, 1000, 24*mostMs)
+	longest := 0.0
+	for _, p := range f.Service.Products {
+		longest = max(longest, p.LimitMs)
+	}
+	f.State, f.EndMs = e.At("state").TextOr(""), e.At("end_within_ms").NumberOr(max(1000, longest), 100, mostMs)
+	f.Retire = e.At("retire").BoolOr(false)
 	e.Done()
 	l := v.At("list").Object(true)
 	f.ListURL = l.At("url").Text()
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -41,10 +41,11 @@
 	Full                   // turned away: the queue holds only what matters as much or more
 	Flood                  // turned away: this client asks too often
 	TooLate                // turned away: too little is left of its time limit
+	Ending                 // turned away: the front is ending
 )
 
 func (v Verdict) String() string {
-	return [...]string{"waits", "front is full", "too many requests", "too late"}[v]
+	return [...]string{"waits", "front is full", "too many requests", "too late", "the front is ending"}[v]
 }
 
 // Ask is a request at the gate.
@@ -167,6 +168,17 @@
 	return g.remove(pick), nil
 }
 
+// TurnAway takes one request out of the queue of a front that is ending, or returns nil.
+func (g *Gate) TurnAway() *Turned {
+	if len(g.queue) == 0 {
+		return nil
+	}
+	return g.Refuse(g.remove(0), Ending)
+}
+
+// Refuse turns a request away that is not in the queue.
+func (g *Gate) Refuse(a *Ask, why Verdict) *Turned { return &Turned{a, why, g.advice()} }
+
 // Withdraw takes a request out whose client went away; it does nothing if it no longer waits.
 func (g *Gate) Withdraw(a *Ask) bool {
 	i := slices.Index(g.queue, a)
--- a/lab/rig_test.go
+++ b/lab/rig_test.go
@@ -92,7 +92,7 @@
 		t.Fatal(err)
 	}
 	r.front, err = serve.Listen(conf.Front{Name: "f", Zone: "z", Listen: "127.0.0.1:0", ListURL: "http://" + r.registry.addr + "/v1/list",
-		Seed: 1, Waiting: 64, Sockets: 1000, TokenMs: 60000, Keys: keys, Service: set}, time.Now().UnixNano(), zerolog.Nop())
+		Seed: 1, Waiting: 64, Sockets: 1000, TokenMs: 60000, EndMs: 3000, Keys: keys, Service: set}, time.Now().UnixNano(), zerolog.Nop())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -26,6 +26,8 @@
 	CallFor    = 1 * front.Second // rungs and ends: a node that takes longer is asked again
 	CallTries  = 3                // then the next word of its stream tells what it runs
 	callPause  = 100 * front.Ms   // before the second try, doubled for the third
+	firstEach  = 2 * front.Ms     // first dials are spread over this for each node listed
+	firstMost  = 1 * front.Second // and over no more: a front waits for them before it takes plays
 	startLeast = 100 * front.Ms   // a fresh front hears the list at least so long before it takes plays
 	startMost  = Lease + margin   // then what it held before has ended wherever it could not ask
 )
@@ -67,6 +69,12 @@
 	*w.of(node) = Stream{alive: true, met: true, heardAt: now}
 }
 
+// First is when a node newly listed is dialled, of so many listed together. Guards against hundreds of
+// fronts that start at once and dial each node in the same moment.
+func (w *Watch) First(now int64, listed int) int64 {
+	return now + int64(w.rnd.Float()*float64(min(firstMost, int64(listed)*firstEach)))
+}
+
 // Heard says that something came on a stream.
 func (w *Watch) Heard(now int64, node int) { w.of(node).heardAt = now }
 
--- a/pulse/pulse_test.go
+++ b/pulse/pulse_test.go
@@ -78,3 +78,18 @@
 		t.Fatal("the lease has passed")
 	}
 }
+
+func TestFirstDialsAreSpread(t *testing.T) {
+	w := New(now, 1)
+	last := int64(0)
+	for range 300 {
+		at := w.First(now, 300)
+		if at < now || at >= now+300*firstEach {
+			t.Fatalf("dial after %d", at-now)
+		}
+		last = max(last, at)
+	}
+	if last < now+250*firstEach || w.First(now, 1) > now+firstEach {
+		t.Fatalf("the last is dialled after %d", last-now)
+	}
+}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -20,6 +20,7 @@
 	"gullrail/dash"
 	"gullrail/intake"
 	"gullrail/nodes"
+	"gullrail/parting"
 	"gullrail/session"
 	"gullrail/token"
 )
@@ -53,7 +54,7 @@
 	service := &f.set.Service
 	f.client = nodes.NewClient(set.Name, epoch, service.Reports == "answers", service, f.runner, log)
 	module := choice.New(service.Terms(set.Number, set.Zone), seed)
-	f.core = session.NewCore(clock.Now(), set.Name, epoch, module, f.client, seed)
+	f.core = session.NewCore(clock.Now(), set.Name, epoch, module, f.client, service, seed)
 	mux := http.NewServeMux()
 	life := time.Duration(set.TokenMs * float64(time.Millisecond))
 	mux.Handle("/v1/", dash.NewFront(set.Name, service, minter, life, f.runner, log))
@@ -118,6 +119,33 @@
 // stands still.
 func (f *Front) Stall(do func()) { f.runner.Tell(func(int64, *session.Core) { do() }) }
 
+// part ends the front in order, within the time that its settings give.
+func (f *Front) part() {
+	within := time.Duration(f.set.EndMs * float64(time.Millisecond))
+	f.log.Info().Dur("within", within).Bool("retire", f.set.Retire).Msg("front is ending")
+	end := f.runner.Clock().Now() + session.Ticks(within)
+	owed, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	f.runner.Shut()
+	f.runner.Tell(func(now int64, c *session.Core) { c.Part(now, end) })
+	last := time.AfterFunc(session.Duration(parting.Deadline(end)-f.runner.Clock().Now()), func() {
+		f.runner.Tell(func(now int64, c *session.Core) { c.Close(now) })
+	})
+	defer last.Stop()
+	if f.set.Retire {
+		f.runner.Tell(func(now int64, c *session.Core) { c.Release(now, end) })
+	}
+	if err := f.server.Shutdown(owed); err != nil {
+		f.server.Close()
+	}
+	for f.set.Retire && owed.Err() == nil && f.Counts(owed).InHand > 0 {
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-owed.Done():
+		}
+	}
+}
+
 // Run serves until the context ends: then it takes no more requests, gives the answers that are owed,
 // and returns once nothing of it runs any more.
 func (f *Front) Run(ctx context.Context) error {
@@ -136,11 +164,7 @@
 	g.Go(func() error {
 		<-ctx.Done()
 		defer stop()
-		owed, cancel := context.WithTimeout(context.Background(), longest(&f.set.Service))
-		defer cancel()
-		if err := f.server.Shutdown(owed); err != nil {
-			f.server.Close()
-		}
+		f.part()
 		return nil
 	})
 	f.log.Info().Str("front", f.set.Name).Str("listen", f.Addr()).Msg("front runs")
--- a/session/core.go
+++ b/session/core.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"gullrail/front"
+	"gullrail/parting"
 	"gullrail/pulse"
 )
 
@@ -124,6 +125,7 @@
 	try     int
 	rung    int
 	seq     int
+	mayHave bool // an allocation that ended may have run
 	left    bool // nobody waits for its answer any more
 	adopted bool
 	early   *front.Ending // its end, where that was told before its start
@@ -147,6 +149,12 @@
 	returned        // its viewer came back already: the token is used up
 )
 
+// release is a play to be let go at a time.
+type release struct {
+	id string
+	at int64
+}
+
 type finished struct {
 	id  string
 	at  int64
@@ -164,6 +172,20 @@
 	probing       bool
 }
 
+// Products says what the front's end must know of a product, by its number.
+type Products interface {
+	Paid(product int) bool
+	Importance(product int) float64
+}
+
+func (c *Core) paid(product int) bool { return c.products == nil || c.products.Paid(product) }
+func (c *Core) importance(product int) float64 {
+	if c.products == nil {
+		return 1
+	}
+	return c.products.Importance(product)
+}
+
 // Counts are what the core has seen since its start.
 type Counts struct {
 	Taken, Plays, Declined, Failed, Denied, Moved, Lost, Adopted, Orphans uint64
@@ -173,33 +195,36 @@
 
 // Core is one front end's plays. Its methods come one at a time, with a clock that never goes back.
 type Core struct {
-	name    string
-	epoch   int64
-	mod     front.Chooser
-	out     Carrier
-	watch   *pulse.Watch
-	n       uint64
-	plays   map[string]*play
-	places  []*play // by place of the handle
-	asking  map[string]*play
-	titles  *numbers
-	viewers *numbers
-	nodes   []node
-	nodeAt  map[string]int
-	freed   []int // node numbers that may name another
-	ended   map[string]finished
-	endings []finished // in their order, from oldest on
-	oldest  int
-	list    []front.Node
-	listed  []int
-	wakeAt  int64
-	counts  Counts
+	name     string
+	epoch    int64
+	mod      front.Chooser
+	out      Carrier
+	watch    *pulse.Watch
+	n        uint64
+	plays    map[string]*play
+	places   []*play // by place of the handle
+	asking   map[string]*play
+	titles   *numbers
+	viewers  *numbers
+	nodes    []node
+	nodeAt   map[string]int
+	freed    []int // node numbers that may name another
+	products Products
+	parting  bool
+	releases []release
+	ended    map[string]finished
+	endings  []finished // in their order, from oldest on
+	oldest   int
+	list     []front.Node
+	listed   []int
+	wakeAt   int64
+	counts   Counts
 }
 
 // NewCore makes a core for a front's life. Epoch tells its lives apart and only grows; seed draws
-// the pauses between dials.
-func NewCore(now int64, name string, epoch int64, mod front.Chooser, out Carrier, seed uint64) *Core {
-	return &Core{name: name, epoch: epoch, mod: mod, out: out, watch: pulse.New(now, seed), wakeAt: now,
+// the pauses between dials. Products may be nil: all then count as paid.
+func NewCore(now int64, name string, epoch int64, mod front.Chooser, out Carrier, products Products, seed uint64) *Core {
+	return &Core{products: products, name: name, epoch: epoch, mod: mod, out: out, watch: pulse.New(now, seed), wakeAt: now,
 		plays: map[string]*play{}, asking: map[string]*play{}, titles: newNumbers(), viewers: newNumbers(),
 		nodeAt: map[string]int{}, ended: map[string]finished{}}
 }
@@ -224,6 +249,11 @@
 // Ask brings a viewer's request. Exactly one answer is given to its reply, now or later, unless the
 // reply is withdrawn first.
 func (c *Core) Ask(now int64, a Ask) {
+	if c.parting {
+		a.Reply.Give(Answer{Verdict: Declined, Why: "the front is ending", ComeBack: front.Second})
+		c.counts.Declined++
+		return
+	}
 	if !c.Ready(now) {
 		a.Reply.Give(Answer{Verdict: Declined, Why: "the front is starting", ComeBack: front.Second})
 		c.counts.Declined++
@@ -384,6 +414,7 @@
 		return
 	}
 	p.stage = waiting
+	p.mayHave = p.mayHave || how != front.TurnedAway && how != front.NoConnect && how != front.NotSent
 	c.nodes[p.node].plays--
 	res := c.mod.Ended(now, p.h, r.Try, how, p.left, load)
 	if p.left {
@@ -542,7 +573,7 @@
 		}
 		n.address = l.Address
 		if !n.followed && n.listed {
-			c.follow(now, at, now)
+			c.follow(now, at, c.watch.First(now, len(lines)))
 		}
 		c.list = append(c.list, front.Node{Index: at, Phase: l.Phase, Kind: l.Kind, Zone: l.Zone, Cell: l.Cell,
 			Started: l.Started, Weight: l.Weight})
@@ -572,6 +603,7 @@
 func (c *Core) Wake(now int64) {
 	c.wakeAt = 0
 	c.carry(now, c.mod.Wake(now))
+	c.letGo(now)
 	for at := range c.nodes {
 		n := &c.nodes[at]
 		if n.name == "" {
@@ -601,13 +633,76 @@
 	c.forget(now)
 }
 
-// Close answers what still waits for an answer, as the front ends.
-func (c *Core) Close() {
+// ---- The front's end ----
+
+// Part begins an orderly end: nothing new is taken, and what is not waited for until the end is answered.
+func (c *Core) Part(now, end int64) {
+	c.parting = true
+	for _, p := range c.unanswered() {
+		c.giveUp(now, p, parting.Judge(now, end, c.request(p)))
+	}
+}
+
+// Close answers what still waits for an answer, as the front can't wait longer.
+func (c *Core) Close(now int64) {
+	c.parting = true
+	for _, p := range c.unanswered() {
+		c.giveUp(now, p, parting.Expired(c.request(p)))
+	}
+}
+
+// Release lets the plays that play go, one by one up to a time, as nobody takes this front's place.
+func (c *Core) Release(now, end int64) {
+	var plays []parting.Playing
+	var ids []string
+	for i, p := range c.places {
+		if p != nil && p.stage == playing {
+			plays = append(plays, parting.Playing{Importance: c.importance(p.ask.Product), Key: i})
+			ids = append(ids, p.id)
+		}
+	}
+	order, at := parting.Release(now, end, plays)
+	for i, o := range order {
+		c.releases = append(c.releases, release{ids[o], at[i]})
+	}
+	c.letGo(now)
+}
+
+// letGo ends the plays whose time has come.
+func (c *Core) letGo(now int64) {
+	for len(c.releases) > 0 && c.releases[0].at <= now {
+		if p := c.plays[c.releases[0].id]; p != nil && p.stage == playing {
+			c.endAt(now, p, "the front retires", front.CalledOff, broken)
+		}
+		c.releases = c.releases[1:]
+	}
+}
+
+func (c *Core) unanswered() (all []*play) {
 	for _, p := range c.places {
 		if p != nil && p.stage != playing && !p.left {
-			p.ask.Reply.Give(Answer{Verdict: Failed, Play: p.id, Why: "the front is ending"})
+			all = append(all, p)
 		}
 	}
+	return all
+}
+
+func (c *Core) request(p *play) parting.Request {
+	return parting.Request{Limit: p.ask.Limit, Paid: c.paid(p.ask.Product), Out: p.stage == settingUp, MayHave: p.mayHave}
+}
+
+func (c *Core) giveUp(now int64, p *play, v parting.Verdict) {
+	switch v {
+	case parting.Wait:
+		return
+	case parting.Fail:
+		c.counts.Failed++
+		p.ask.Reply.Give(Answer{Verdict: Failed, Play: p.id, Why: "the front is ending"})
+	case parting.Decline:
+		c.counts.Declined++
+		p.ask.Reply.Give(Answer{Verdict: Declined, Play: p.id, Why: "the front is ending", ComeBack: front.Second})
+	}
+	c.leave(now, p)
 }
 
 // ---- What the module ordered ----
--- a/session/core_test.go
+++ b/session/core_test.go
@@ -47,10 +47,16 @@
 	}
 }
 
+// products are 0, safe, and 1, paid.
+type products struct{}
+
+func (products) Paid(n int) bool          { return n == 1 }
+func (products) Importance(n int) float64 { return float64(n + 1) }
+
 // core makes a ready core with n nodes, each met in life 7.
 func core(n int) (*Core, *recorder) {
 	out := &recorder{dials: map[int]int64{}}
-	c := NewCore(start, "f", 0xe, choice.New(terms(), 1), out, 1)
+	c := NewCore(start, "f", 0xe, choice.New(terms(), 1), out, products{}, 1)
 	var lines []Listed
 	for i := range n {
 		lines = append(lines, Listed{Name: fmt.Sprint("n", i), Address: fmt.Sprint("a", i), Cell: i, Weight: 1})
@@ -310,7 +316,7 @@
 
 func TestNoPlayBeforeReady(t *testing.T) {
 	out := &recorder{dials: map[int]int64{}}
-	c := NewCore(start, "f", 1, choice.New(terms(), 1), out, 1)
+	c := NewCore(start, "f", 1, choice.New(terms(), 1), out, products{}, 1)
 	a := want(0, "v")
 	c.Ask(start, a)
 	if x := got(t, a); x.Verdict != Declined || x.ComeBack == 0 {
@@ -397,3 +403,31 @@
 		t.Logf("%d plays: heap %.1f MB, %+v", n, float64(heap)/1e6, s)
 	}
 }
+
+func TestOrderlyEnd(t *testing.T) {
+	c, out := core(2)
+	plays(t, c, out, want(0, "plays"))
+	paid, safe := want(1, "paid"), want(0, "safe")
+	c.Ask(ready, paid)
+	c.Ask(ready, safe)
+	c.Part(ready, ready+2*front.Second)
+	silent(t, paid) // both are out: their nodes' words are waited for
+	silent(t, safe)
+	late := want(0, "late")
+	c.Ask(ready, late)
+	if x := got(t, late); x.Verdict != Declined || x.ComeBack == 0 {
+		t.Fatalf("a new one: %+v", x)
+	}
+	c.Close(ready + 2*front.Second)
+	if got(t, paid).Verdict != Failed || got(t, safe).Verdict != Declined || len(out.recall) != 2 {
+		t.Fatalf("at the end: recalled %v", out.recall)
+	}
+	c.Started(ready+2*front.Second, out.setUps[1].Ref, 7, 9, 1, front.Untold) // and then it starts after all
+	if len(out.ends) != 1 {
+		t.Fatalf("it is ended at its node: %v", out.ends)
+	}
+	c.Release(ready, ready+2*front.Second)
+	if len(out.ends) != 2 {
+		t.Fatalf("what plays is let go: %v", out.ends)
+	}
+}
--- a/session/runner.go
+++ b/session/runner.go
@@ -85,7 +85,7 @@
 	r.mu.Lock()
 	var turned []*intake.Turned
 	if r.shut {
-		turned = append(turned, &intake.Turned{Ask: w, Why: intake.Full, ComeBack: front.Second})
+		turned = append(turned, r.gate.Refuse(w, intake.Ending))
 	} else {
 		v, back, gone := r.gate.Offer(now, w)
 		if gone != nil {
@@ -134,7 +134,7 @@
 	go func() { defer beats.Done(); r.beat(ctx) }()
 	defer beats.Wait()
 	defer r.end()
-	defer core.Close()
+	defer func() { core.Close(r.clock.Now()) }()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -212,22 +212,24 @@
 	}
 }
 
-func (r *Runner) end() {
-	r.mu.Lock()
-	r.shut = true
-	gate := r.gate
-	r.mu.Unlock()
-	close(r.done)
+// Shut turns away what waits at the gate and all that still comes, each with its advice when to come back.
+func (r *Runner) Shut() {
 	for {
 		r.mu.Lock()
-		a, late := gate.Next(r.clock.Now())
-		r.mu.Unlock()
-		if a != nil {
-			late = &intake.Turned{Ask: a, Why: intake.Full, ComeBack: front.Second}
+		r.shut = true
+		t := r.gate.TurnAway()
+		if t != nil {
+			r.turn++
 		}
-		if late == nil {
+		r.mu.Unlock()
+		if t == nil {
 			return
 		}
-		turnAway(late)
+		turnAway(t)
 	}
 }
+
+func (r *Runner) end() {
+	r.Shut()
+	close(r.done)
+}
