Rehearsals by processes of their own: kit up, run, down, status, clean

Need: an interrupted rehearsal must leave nothing. Each process of a run registers in its folder before it does anything and then looks whether the run goes on; who ends a run marks it first and reads the registrations after. Id, start time and nonce must match before anything is signalled. Racks, list service, fronts and viewers are processes; their tapes go by the machine's monotonic clock and are merged.

--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -34,6 +34,7 @@
 	Check    checkVerb    `cmd:"" help:"Check settings, of a front end or of a day, and list all mistakes."`
 	Rehearse rehearseVerb `cmd:"" help:"Play a day: front ends as processes, stand-in nodes and viewers, with the six rules audited."`
 	Load     loadVerb     `cmd:"" help:"Measure fronts under an open loop of requests, against the stand-in nodes of a day."`
+	Kit      kitVerbs     `cmd:"" help:"Rehearse with every part a process of its own."`
 	Audit    auditVerb    `cmd:"" help:"Check a tape of a rehearsal against the six rules again."`
 }
 
--- /dev/null
+++ b/kit/signals_test.go
@@ -0,0 +1,11 @@
+package kit
+
+import (
+	"os/signal"
+	"syscall"
+)
+
+// deaf makes this process ignore the word to end.
+func deaf() { signal.Ignore(syscall.SIGTERM) }
+
+func syscallStop(pid int) { syscall.Kill(pid, syscall.SIGSTOP) }
--- a/lab/audit/audit_test.go
+++ b/lab/audit/audit_test.go
@@ -152,6 +152,15 @@
 			}
 			return s
 		}},
+		{"further allocations of two lives", 0, func(s *script) *script {
+			for i := range 4 {
+				s.node(100, tape.SetUp, "n", fmt.Sprint("p", i), 1, "safe", 1).node(1, tape.Refused, "n", fmt.Sprint("p", i), 1, "safe", 1)
+				if i == 1 {
+					s.add(1, tape.Line{What: tape.Killed, Front: "f"}).add(1, tape.Line{What: tape.Up, Front: "f"})
+				}
+			}
+			return s
+		}},
 		{"further allocations, spread", 0, func(s *script) *script {
 			for i := range 5 {
 				s.node(5000, tape.SetUp, "n", fmt.Sprint("p", i), 1, "safe", 1).node(1, tape.Refused, "n", fmt.Sprint("p", i), 1, "safe", 1)
--- /dev/null
+++ b/lab/stand.go
@@ -0,0 +1,127 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"gullrail/lab/audit"
+	"gullrail/lab/tape"
+	"gullrail/nodes"
+)
+
+// A rehearsal may be spread over processes: one for each rack of nodes, one for the list service, one for
+// the viewers. Each reads the whole day, and plays its part of the script by the common clock.
+
+// StartRack starts the nodes of one rack, to be announced at a list service in another process.
+func (r *Rehearsal) StartRack(rack int, t *tape.Tape) ([]nodes.Line, error) {
+	if _, err := r.prepare(t); err != nil {
+		return nil, err
+	}
+	cells := r.Day.Service.Cells
+	return r.startNodes(func(i int) bool { return i%cells%r.Day.Service.Racks == rack })
+}
+
+// StartList starts the list service with its nodes; other processes announce theirs to Announce at its
+// address.
+func (r *Rehearsal) StartList(t *tape.Tape, lines []nodes.Line) (addr string, err error) {
+	if _, err := r.prepare(t); err != nil {
+		return "", err
+	}
+	r.registry = NewRegistry(r.tape, time.Duration(r.Day.ListLateMs)*time.Millisecond)
+	r.list = r.registry
+	r.registry.Set(lines...)
+	if addr, err = freePort(); err != nil {
+		return "", err
+	}
+	return addr, r.registry.Start(addr)
+}
+
+// AnnounceAt lets the nodes of this process be announced at a list service's back door.
+func (r *Rehearsal) AnnounceAt(addr string) { r.list = remote{addr, r.Say} }
+
+// remote is a list service in another process.
+type remote struct {
+	addr string
+	say  func(format string, args ...any)
+}
+
+func (a remote) Set(lines ...nodes.Line) {
+	body, err := json.Marshal(lines)
+	if err == nil {
+		var resp *http.Response
+		if resp, err = http.Post("http://"+a.addr+"/announce", "application/json", bytes.NewReader(body)); err == nil {
+			resp.Body.Close()
+		}
+	}
+	if err != nil {
+		a.say("announcing: %v", err)
+	}
+}
+
+// Announce is the list service's back door: it works also while players' side is down.
+func (r *Rehearsal) Announce(w http.ResponseWriter, req *http.Request) {
+	var lines []nodes.Line
+	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, 1<<20)).Decode(&lines); err != nil || len(lines) == 0 {
+		http.Error(w, fmt.Sprint("announce: ", err), http.StatusBadRequest)
+		return
+	}
+	r.registry.Set(lines...)
+}
+
+// Script plays this process's part of the script, until all of it is done or the context ends.
+func (r *Rehearsal) Script(ctx context.Context, start time.Time) {
+	for _, f := range r.Day.Faults {
+		r.wg.Add(1)
+		go func() { defer r.wg.Done(); r.inject(ctx, start, f) }()
+	}
+	<-ctx.Done()
+	r.wg.Wait()
+}
+
+// WatchAll lets the day's viewers come from a start on, and returns when the last answer is in, with the
+// share of segments delivered short.
+func (r *Rehearsal) WatchAll(ctx context.Context, start time.Time, t *tape.Tape, fronts []Reached) (lines []tape.Line, short float64, err error) {
+	if _, err := r.prepare(t); err != nil {
+		return nil, 0, err
+	}
+	players := NewPlayers(&r.Day.Service, t)
+	viewers, end := context.WithCancel(ctx)
+	r.crowds(viewers, start)
+	r.arrive(viewers, start, players, fronts)
+	wait(ctx, r.Day.tail())
+	lines = t.Lines()
+	end()
+	r.wg.Wait()
+	players.Seen.mu.Lock()
+	defer players.Seen.mu.Unlock()
+	return lines, float64(players.Seen.Short) / max(1, float64(players.Seen.Segments)), ctx.Err()
+}
+
+// crowds plays the crowds of the script alone.
+func (r *Rehearsal) crowds(ctx context.Context, start time.Time) {
+	for _, f := range r.Day.Faults {
+		if f.Do == "crowd" {
+			r.wg.Add(1)
+			go func() { defer r.wg.Done(); r.inject(ctx, start, f) }()
+		}
+	}
+}
+
+// StartFronts starts the day's fronts, told of a list service elsewhere, with the key that the day draws.
+func (r *Rehearsal) StartFronts(ctx context.Context, list string, t *tape.Tape) error {
+	key, err := r.prepare(t)
+	if err != nil {
+		return err
+	}
+	return r.startFronts(ctx, key, list)
+}
+
+// Audit checks the tapes of all processes.
+func (d *Day) Audit(tapes ...[]tape.Line) (*audit.Report, []tape.Line) {
+	all := tape.Merge(tapes...)
+	return audit.Check(&d.Service, all), all
+}
--- a/lab/tape/tape.go
+++ b/lab/tape/tape.go
@@ -7,8 +7,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"sort"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // What a Line tells of.
@@ -57,6 +60,7 @@
 // Tape collects lines of many goroutines in the order of their times.
 type Tape struct {
 	began time.Time
+	base  time.Duration // what the clock showed then
 	mu    sync.Mutex
 	lines []Line
 }
@@ -64,17 +68,37 @@
 // New starts a tape and its clock.
 func New() *Tape { return &Tape{began: time.Now()} }
 
-// Now is the tape's clock.
-func (t *Tape) Now() time.Duration { return time.Since(t.began) }
+// NewAt starts a tape whose clock began at a moment of the machine's monotonic clock, so that the tapes of
+// several processes of one machine go by one clock.
+func NewAt(base time.Duration) *Tape { return &Tape{began: time.Now(), base: Monotonic() - base} }
+
+// Monotonic reads the machine's monotonic clock.
+func Monotonic() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		panic(fmt.Sprintf("tape: no monotonic clock: %v", err))
+	}
+	return time.Duration(t.Nano())
+}
 
 // Add records a line, with its time.
 func (t *Tape) Add(l Line) {
 	t.mu.Lock()
-	l.T = time.Since(t.began).Microseconds()
+	l.T = (t.base + time.Since(t.began)).Microseconds()
 	t.lines = append(t.lines, l)
 	t.mu.Unlock()
 }
 
+// Merge puts the lines of several tapes of one clock in the order of their times.
+func Merge(tapes ...[]Line) []Line {
+	var all []Line
+	for _, t := range tapes {
+		all = append(all, t...)
+	}
+	sort.SliceStable(all, func(i, j int) bool { return all[i].T < all[j].T })
+	return all
+}
+
 // Lines is a copy of what was recorded.
 func (t *Tape) Lines() []Line {
 	t.mu.Lock()
