Audit: what is stopped at a time limit can't answer, and must as soon as it goes on

The tape now has when a front is stopped and goes on; a later answer, or one of a front that stood still before its limit, stays a break.

--- a/lab/audit/audit_test.go
+++ b/lab/audit/audit_test.go
@@ -75,6 +75,15 @@
 		}},
 		{"two answers", 1, func(s *script) *script { return s.whole(1, "safe", "p").answer(1, 1, 503, "p").late() }},
 		{"an answer after the limit", 1, func(s *script) *script { return s.ask(1, "safe").answer(5200, 1, 503, "p") }},
+		{"a late answer, of a front that stood still at the limit", 0, func(s *script) *script {
+			return s.ask(1, "safe").add(4000, tape.Line{What: tape.Stopped, Front: "f"}).add(2000, tape.Line{What: tape.Goes, Front: "f"}).answer(200, 1, 504, "p")
+		}},
+		{"a late answer, long after the front went on", 1, func(s *script) *script {
+			return s.ask(1, "safe").add(4000, tape.Line{What: tape.Stopped, Front: "f"}).add(2000, tape.Line{What: tape.Goes, Front: "f"}).answer(400, 1, 504, "p")
+		}},
+		{"a late answer, of a front that stood still before", 1, func(s *script) *script {
+			return s.ask(1, "safe").add(1000, tape.Line{What: tape.Stopped, Front: "f"}).add(2000, tape.Line{What: tape.Goes, Front: "f"}).answer(2300, 1, 504, "p")
+		}},
 		{"an answer nobody asked for", 1, func(s *script) *script { return s.answer(1, 9, 200, "p") }},
 		{"sent again after it was refused", 0, func(s *script) *script {
 			return s.ask(1, "paid").node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(9, tape.Refused, "n", "p", 0, "paid", 1).
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -581,9 +581,11 @@
 			return
 		}
 		p := r.fronts[f.Front]
+		r.tape.Add(tape.Line{What: tape.Stopped, Front: p.name})
 		p.signal(syscall.SIGSTOP)
 		wait(ctx, f.For)
 		p.signal(syscall.SIGCONT)
+		r.tape.Add(tape.Line{What: tape.Goes, Front: p.name})
 	}
 }
 
--- a/lab/tape/tape.go
+++ b/lab/tape/tape.go
@@ -33,6 +33,8 @@
 	Fell     = "fell"     // a cold node was pushed over: Node
 	Told     = "told"     // the list service told a front: Front, Node, Note is the phase
 	Killed   = "killed"   // a front was killed: Front
+	Stopped  = "stopped"  // a front's process was stopped: Front
+	Goes     = "goes"     // and goes on
 	Up       = "up"       // a front's process was started: Front
 	Fault    = "fault"    // the script did something: Note
 	Unstream = "unstream" // a node lost or closed the stream to a front: Node, Front
