--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"os"
@@ -231,6 +232,8 @@
 // wrong is an error of settings or arguments.
 type wrong struct{ error }
 
+func (w wrong) Unwrap() error { return w.error }
+
 func main() {
 	var p program
 	k := kong.Parse(&p, kong.Name("gullrail"), kong.UsageOnError(),
@@ -242,7 +245,7 @@
 		for _, line := range strings.Split(err.Error(), "\n") {
 			fmt.Fprintln(os.Stderr, "gullrail: "+line)
 		}
-		if _, ok := err.(wrong); ok {
+		if w := (wrong{}); errors.As(err, &w) {
 			os.Exit(exitWrong)
 		}
 		os.Exit(exitFailed)
--- a/lab/day.go
+++ b/lab/day.go
@@ -138,6 +138,7 @@
 	kind, ok := faults[f.Do]
 	if !ok {
 		v.At("do").Wrong("no such fault: %.40q", f.Do)
+		return f
 	}
 	switch kind.needs {
 	case "nodes":
