--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -86,10 +86,12 @@
 }
 
 type rehearseVerb struct {
-	File string `arg:"" help:"The day (JSON with comments)."`
-	JSON bool   `help:"Print the report as JSON."`
-	Seed uint64 `help:"Play it with this seed in place of the day's."`
-	Keep string `help:"Keep the fronts' settings and logs and the tape in this folder." type:"path"`
+	File   string `arg:"" help:"The day (JSON with comments)."`
+	JSON   bool   `help:"Print the report as JSON."`
+	Seed   uint64 `help:"Play it with this seed in place of the day's."`
+	Sim    bool   `help:"Play it in simulated time, without sockets: the same cores over a simulated transport."`
+	Module string `help:"In simulated time: the module of the project, or a baseline." enum:"choice,random,least" default:"choice"`
+	Keep   string `help:"Keep the fronts' settings and logs and the tape in this folder." type:"path"`
 }
 
 func (v *rehearseVerb) Run(ctx context.Context) error {
@@ -100,6 +102,25 @@
 	if v.Seed != 0 {
 		day.Seed = v.Seed
 	}
+	if v.Sim {
+		out := (&lab.Sim{Day: day, Module: lab.Baseline(v.Module)}).Run()
+		if !v.JSON {
+			fmt.Printf("%s, seed %d: %d fronts, %d nodes, %v plays a second for %v s (simulated, module %s)\n", filepath.Base(v.File), day.Seed,
+				day.Service.Fronts, day.Nodes, day.Rate, day.Seconds, v.Module)
+		}
+		if v.Keep != "" {
+			if err := os.MkdirAll(v.Keep, 0o755); err != nil {
+				return err
+			}
+			if err := writeTape(filepath.Join(v.Keep, "tape.jsonl"), out.Lines); err != nil {
+				return err
+			}
+		}
+		return report(out.Report, out.Short, out.Took, v.JSON)
+	}
+	if v.Module != "choice" {
+		return wrong{errors.New("a baseline plays in simulated time only: --sim")}
+	}
 	folder := v.Keep
 	if folder == "" {
 		if folder, err = os.MkdirTemp("", "gullrail-rehearsal-"); err != nil {
--- /dev/null
+++ b/lab/baseline.go
@@ -0,0 +1,279 @@
+package lab
+
+import (
+	"gullrail/front"
+	"gullrail/internal/pcg"
+)
+
+// Baseline is a chooser to compare the project's module with, by its name: random takes a random holder at
+// the lowest rung, least the holder whose link was told to be asked least, at the highest rung that fits by
+// that word. Both keep seats, floors, drains and the paid rule, so that service can be compared; neither
+// changes a rung in play, moves a play, paces cold nodes or learns. Nil is the project's own.
+func Baseline(name string) func(terms map[string][]float64, seed uint64) front.Chooser {
+	if name != "random" && name != "least" {
+		return nil
+	}
+	return func(terms map[string][]float64, seed uint64) front.Chooser {
+		return &baseline{terms: terms, least: name == "least", rnd: pcg.New(seed)}
+	}
+}
+
+type baseline struct {
+	terms map[string][]float64
+	least bool
+	rnd   pcg.Source
+	nodes []baseNode
+	plays []basePlay
+	seats map[[2]int]int
+	again []int64
+	taken []int64
+	res   front.Result
+}
+
+type baseNode struct {
+	front.Node
+	listed bool
+	asked  float64
+}
+
+type basePlay struct {
+	want      front.Want
+	gen       uint32
+	live      bool
+	out       bool
+	playing   bool
+	mayHave   bool
+	deserted  bool
+	try, node int
+	tried     []int
+}
+
+func (b *baseline) of(name string, i int) float64 {
+	if v := b.terms[name]; i < len(v) {
+		return v[i]
+	}
+	return 0
+}
+
+func (b *baseline) get(h front.Handle) *basePlay {
+	if int(h.Place) < len(b.plays) && b.plays[h.Place].live && b.plays[h.Place].gen == h.Gen {
+		return &b.plays[h.Place]
+	}
+	return nil
+}
+
+func (b *baseline) begin() { b.res.Orders, b.res.Probes = b.res.Orders[:0], b.res.Probes[:0] }
+
+func (b *baseline) end(now int64) *front.Result {
+	b.res.Wake = now + front.Second
+	return &b.res
+}
+
+func (b *baseline) Nodes(now int64, list []front.Node, whole bool) *front.Result {
+	b.begin()
+	for i := range b.nodes {
+		b.nodes[i].listed = b.nodes[i].listed && !whole
+	}
+	for _, n := range list {
+		for n.Index >= len(b.nodes) {
+			b.nodes = append(b.nodes, baseNode{})
+		}
+		b.nodes[n.Index].Node, b.nodes[n.Index].listed = n, n.Phase != front.Gone
+	}
+	return b.end(now)
+}
+
+func (b *baseline) add(w front.Want) (front.Handle, *basePlay) {
+	at := -1
+	for i := range b.plays {
+		if !b.plays[i].live {
+			at = i
+			break
+		}
+	}
+	if at < 0 {
+		at = len(b.plays)
+		b.plays = append(b.plays, basePlay{})
+	}
+	p := &b.plays[at]
+	*p = basePlay{want: w, gen: p.gen + 1, live: true, try: -1, tried: p.tried[:0]}
+	return front.Handle{Place: int32(at), Gen: p.gen}, p
+}
+
+func (b *baseline) Take(now int64, w front.Want) (front.Handle, *front.Result) {
+	b.begin()
+	h, p := b.add(w)
+	b.taken = append(b.taken, now)
+	b.place(now, h, p)
+	return h, b.end(now)
+}
+
+func (b *baseline) place(now int64, h front.Handle, p *basePlay) {
+	product := p.want.Product
+	paid := b.of("product.paid", product) > 0
+	seats, seat := b.of("product.seats", product), [2]int{p.want.Title, product}
+	pick, best := -1, 0.0
+	if b.seats == nil {
+		b.seats = map[[2]int]int{}
+	}
+	if p.try+1 < int(b.of("tries", 0)) && now < p.want.Limit && !(paid && p.mayHave) &&
+		(seats == 0 || float64(b.seats[seat]) < seats) && (p.try < 0 || b.budget(now)) {
+		cells := int(b.of("cells", 0))
+		for i := range b.nodes {
+			n := &b.nodes[i]
+			if !n.listed || n.Phase != front.Ready || ((n.Cell-p.want.Home)%cells+cells)%cells >= p.want.Copies || p.has(i) {
+				continue
+			}
+			score := b.rnd.Float()
+			if b.least {
+				score = -n.asked + score/1e6
+			}
+			if pick < 0 || score > best {
+				pick, best = i, score
+			}
+		}
+	}
+	if pick < 0 {
+		do := front.Decline
+		if paid && p.mayHave {
+			do = front.Fail
+		}
+		b.res.Orders = append(b.res.Orders, front.Order{Play: h, Do: do, ComeBack: int64(b.of("comeback.most", 0))})
+		p.live = false
+		return
+	}
+	rung := int(b.of("product.floor", product))
+	if b.least {
+		rates := b.terms["rung.rate"]
+		for r := rung + 1; r < len(rates) && r <= p.want.Top; r++ {
+			if b.nodes[pick].asked+rates[r]*b.of("product.rate", product)/b.of("weight.rate", 0) < 0.85 {
+				rung = r
+			}
+		}
+		b.nodes[pick].asked += rates[rung] * b.of("product.rate", product) / b.of("weight.rate", 0)
+		if b.of("probing", 0) > 0 {
+			b.res.Probes = append(b.res.Probes, pick)
+		}
+	}
+	if p.try++; p.try > 0 {
+		b.again = append(b.again, now)
+	}
+	p.node, p.out = pick, true
+	p.tried = append(p.tried, pick)
+	b.seats[seat]++
+	target := now + int64(b.of("product.target", product))/2
+	until := p.want.Limit
+	if !paid && target < until {
+		until = target
+	}
+	b.res.Orders = append(b.res.Orders, front.Order{Play: h, Do: front.Place, Node: pick, Rung: rung, Until: until})
+}
+
+func (p *basePlay) has(node int) bool {
+	for _, t := range p.tried {
+		if t == node {
+			return true
+		}
+	}
+	return false
+}
+
+func (b *baseline) budget(now int64) bool {
+	over := int64(b.of("budget.over", 0))
+	if over == 0 {
+		return true
+	}
+	within := func(times []int64) (n float64) {
+		for _, t := range times {
+			if t > now-over-200*front.Ms {
+				n++
+			}
+		}
+		return n
+	}
+	return within(b.again)+1 <= b.of("budget.free", 0)+b.of("budget.share", 0)*within(b.taken)*0.9
+}
+
+func (b *baseline) Adopt(now int64, w front.Want, node int) (front.Handle, *front.Result) {
+	b.begin()
+	h, p := b.add(w)
+	p.try, p.playing, p.out, p.node = 0, true, true, node
+	if b.seats == nil {
+		b.seats = map[[2]int]int{}
+	}
+	b.seats[[2]int{w.Title, w.Product}]++
+	return h, b.end(now)
+}
+
+func (b *baseline) Started(now int64, h front.Handle, try int) *front.Result {
+	b.begin()
+	if p := b.get(h); p != nil && p.try == try {
+		p.playing = true
+	}
+	return b.end(now)
+}
+
+func (b *baseline) Ended(now int64, h front.Handle, try int, how front.Ending, over bool, load front.Load) *front.Result {
+	b.begin()
+	p := b.get(h)
+	if p == nil || !p.out || p.try != try {
+		return b.end(now)
+	}
+	p.out = false
+	b.seats[[2]int{p.want.Title, p.want.Product}]--
+	b.heard(p.node, load)
+	if over || p.playing || p.deserted {
+		p.live = false
+		return b.end(now)
+	}
+	p.mayHave = p.mayHave || how != front.TurnedAway && how != front.NoConnect && how != front.NotSent
+	b.place(now, h, p)
+	return b.end(now)
+}
+
+func (b *baseline) heard(node int, load front.Load) {
+	if load.Link >= 0 {
+		b.nodes[node].asked = load.Link
+	}
+}
+
+func (b *baseline) Left(now int64, h front.Handle) *front.Result {
+	b.begin()
+	if p := b.get(h); p != nil && !p.out {
+		p.live = false
+	} else if p != nil && !p.playing {
+		p.deserted = true
+		b.res.Orders = append(b.res.Orders, front.Order{Play: h, Do: front.Recall, Try: p.try})
+	}
+	return b.end(now)
+}
+
+func (b *baseline) Probed(now int64, node int, _ front.Ending, load front.Load) *front.Result {
+	b.begin()
+	b.heard(node, load)
+	return b.end(now)
+}
+
+func (b *baseline) Asked(now int64, h front.Handle, load front.Load) *front.Result {
+	b.begin()
+	if p := b.get(h); p != nil {
+		b.heard(p.node, load)
+	}
+	return b.end(now)
+}
+
+func (b *baseline) none(now int64) *front.Result { b.begin(); return b.end(now) }
+
+func (b *baseline) Delivered(now int64, _ front.Handle, _ float64) *front.Result { return b.none(now) }
+func (b *baseline) Told(now int64, _ front.Handle, _ int) *front.Result          { return b.none(now) }
+func (b *baseline) Wake(now int64) *front.Result {
+	over := int64(b.of("budget.over", 0)) + front.Second
+	for len(b.taken) > 0 && b.taken[0] < now-over {
+		b.taken = b.taken[1:]
+	}
+	return b.none(now)
+}
+func (b *baseline) ForgetViewer(int64, int) bool { return true }
+func (b *baseline) ForgetNode(_ int64, node int) bool {
+	return node >= len(b.nodes) || !b.nodes[node].listed
+}
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"iter"
 	"math"
 	"math/rand/v2"
 	"net"
@@ -397,69 +398,91 @@
 
 // ---- Viewers ----
 
-// arrive lets viewers come until the day is over; they don't wait for each other.
-func (r *Rehearsal) arrive(ctx context.Context, start time.Time, players *Players, fronts []Reached) {
-	d := r.Day
-	rnd := rand.New(rand.NewPCG(d.Seed, 3))
-	weights := make([]float64, len(d.Service.Titles))
-	sum := 0.0
-	for i := range weights {
-		weights[i] = 1 / math.Pow(float64(i+1), d.Zipf)
-		sum += weights[i]
-	}
-	at := 0.0
-	for n := 0; ; n++ {
-		if d.Rate <= 0 {
-			return
-		}
-		at += rnd.ExpFloat64() / d.Rate
-		if at >= d.Seconds {
-			break
-		}
-		v := &Viewer{Name: fmt.Sprintf("v%d", n), Tries: d.Tries, Pause: time.Duration(d.PauseMs) * time.Millisecond,
-			Honours: rnd.Float64() < d.Honours, Top: len(d.Service.RatesKB) - 1, Chance: rand.New(rand.NewPCG(d.Seed, uint64(n)+10))}
-		pick := rnd.Float64()
-		for _, p := range d.Products {
-			v.Product = &d.Service.Products[p.Number]
-			v.Watch = time.Duration((p.Watch[0] + rnd.Float64()*(p.Watch[1]-p.Watch[0])) * float64(time.Second))
-			if pick -= p.Share; pick < 0 {
-				break
+// arrival is a viewer's coming: when, to which front first, and a draw that decides whether a crowd takes it.
+type arrival struct {
+	at    float64 // seconds
+	front int
+	drawn float64
+	v     *Viewer
+}
+
+// arrivals draws the day's viewers, the same for the same seed wherever the day is played.
+func (d *Day) arrivals(fronts int) iter.Seq[arrival] {
+	return func(yield func(arrival) bool) {
+		rnd := rand.New(rand.NewPCG(d.Seed, 3))
+		weights := make([]float64, len(d.Service.Titles))
+		sum := 0.0
+		for i := range weights {
+			weights[i] = 1 / math.Pow(float64(i+1), d.Zipf)
+			sum += weights[i]
+		}
+		for n, at := 0, 0.0; d.Rate > 0; n++ {
+			if at += rnd.ExpFloat64() / d.Rate; at >= d.Seconds {
+				return
 			}
-		}
-		if rnd.Float64() < d.Small {
-			v.Top = max(v.Product.Floor, v.Top-1-rnd.IntN(2))
-		}
-		x := rnd.Float64() * sum
-		for i, w := range weights {
-			v.Title = d.Service.Titles[i].Name
-			if x -= w; x < 0 {
-				break
+			v := &Viewer{Name: fmt.Sprintf("v%d", n), Tries: d.Tries, Pause: time.Duration(d.PauseMs) * time.Millisecond,
+				Honours: rnd.Float64() < d.Honours, Top: len(d.Service.RatesKB) - 1, Chance: rand.New(rand.NewPCG(d.Seed, uint64(n)+10))}
+			pick := rnd.Float64()
+			for _, p := range d.Products {
+				v.Product = &d.Service.Products[p.Number]
+				v.Watch = time.Duration((p.Watch[0] + rnd.Float64()*(p.Watch[1]-p.Watch[0])) * float64(time.Second))
+				if pick -= p.Share; pick < 0 {
+					break
+				}
+			}
+			if rnd.Float64() < d.Small {
+				v.Top = max(v.Product.Floor, v.Top-1-rnd.IntN(2))
+			}
+			x := rnd.Float64() * sum
+			for i, w := range weights {
+				v.Title = d.Service.Titles[i].Name
+				if x -= w; x < 0 {
+					break
+				}
+			}
+			if !yield(arrival{at, rnd.IntN(fronts), rnd.Float64(), v}) {
+				return
 			}
 		}
-		first, drawn := rnd.IntN(len(fronts)), rnd.Float64()
-		for i := range fronts {
-			f := fronts[(first+i)%len(fronts)]
-			v.Fronts, v.Names = append(v.Fronts, f.Address), append(v.Names, f.Name)
+	}
+}
+
+// crowded is the title that a viewer wants while crowds come for some.
+func (d *Day) crowded(a arrival, crowd map[string]float64) string {
+	for _, t := range d.Service.Titles {
+		if a.drawn < crowd[t.Name] {
+			return t.Name
 		}
+	}
+	return a.v.Title
+}
+
+// arrive lets viewers come until the day is over; they don't wait for each other.
+func (r *Rehearsal) arrive(ctx context.Context, start time.Time, players *Players, fronts []Reached) {
+	d := r.Day
+	until := func(at float64) bool {
 		select {
 		case <-time.After(time.Until(start.Add(time.Duration(at * float64(time.Second))))):
+			return true
 		case <-ctx.Done():
+			return false
+		}
+	}
+	for a := range d.arrivals(len(fronts)) {
+		for i := range fronts {
+			f := fronts[(a.front+i)%len(fronts)]
+			a.v.Fronts, a.v.Names = append(a.v.Fronts, f.Address), append(a.v.Names, f.Name)
+		}
+		if !until(a.at) {
 			return
 		}
 		r.mu.Lock()
-		for _, t := range d.Service.Titles {
-			if share := r.crowd[t.Name]; drawn < share {
-				v.Title = t.Name
-			}
-		}
+		a.v.Title = d.crowded(a, r.crowd)
 		r.mu.Unlock()
 		r.wg.Add(1)
-		go func() { defer r.wg.Done(); players.Watch(ctx, v) }()
-	}
-	select {
-	case <-time.After(time.Until(start.Add(time.Duration(d.Seconds * float64(time.Second))))):
-	case <-ctx.Done():
+		go func() { defer r.wg.Done(); players.Watch(ctx, a.v) }()
 	}
+	until(d.Seconds)
 }
 
 // ---- Faults ----
--- a/session/reply.go
+++ b/session/reply.go
@@ -36,17 +36,26 @@
 type Reply struct {
 	taken  atomic.Bool
 	answer chan Answer
+	then   func(Answer)
 }
 
 // NewReply makes a reply that nobody has used.
 func NewReply() *Reply { return &Reply{answer: make(chan Answer, 1)} }
 
+// NewReplyTo makes a reply whose answer goes to a function, on the core's goroutine. The function must not
+// call the core.
+func NewReplyTo(then func(Answer)) *Reply { return &Reply{then: then} }
+
 // Give answers, and tells whether this was the first use. It never blocks.
 func (r *Reply) Give(a Answer) bool {
 	if r == nil || !r.taken.CompareAndSwap(false, true) {
 		return false
 	}
-	r.answer <- a
+	if r.then != nil {
+		r.then(a)
+	} else {
+		r.answer <- a
+	}
 	return true
 }
 
--- a/session/runner.go
+++ b/session/runner.go
@@ -22,6 +22,9 @@
 // stands for long past.
 const clockStart = 24 * 3600 * front.Second
 
+// ClockStart is where a clock begins.
+const ClockStart = clockStart
+
 // NewClock starts a clock.
 func NewClock() *Clock { return &Clock{time.Now()} }
 
