--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -222,6 +222,7 @@
 		if short >= 0 {
 			row("segments delivered short", fmt.Sprintf("%.1f%%", 100*short))
 		}
+		row("worth", fmt.Sprintf("%.3f", r.Worth))
 		row("service", fmt.Sprintf("%.3f", r.Service))
 		for i, x := range r.Rules {
 			verdict := "kept"
--- a/lab/audit/audit.go
+++ b/lab/audit/audit.go
@@ -16,6 +16,9 @@
 	skew = 60_000
 	// slack is how long after the time limit an answer still counts, in microseconds, for its way.
 	slack = 100_000
+	// stall is how many parts of its worth a segment loses for each part of its rate that is missing under
+	// 0.98: the middle of what the operators state.
+	stall = 7.0
 	// wakes is how long a front that was stopped past a time limit may take to answer once it goes on.
 	wakes = 300_000
 	// cross is how many set-ups over the allowance chance may bring within one window.
@@ -42,6 +45,7 @@
 	MostAnswers int     `json:"answers_per_play"`
 	Doubled     int     `json:"allocations_doubled"`
 	Retried     int     `json:"further_allocations"`
+	Worth       float64 `json:"worth"` // earned by segments over what viewers came for: rungs and stalls count
 	Service     float64 `json:"service"`
 	FirstMs     []int64 `json:"-"` // first-frame latencies of plays, sorted
 	Rungs       []int   `json:"segments_by_rung"`
@@ -92,6 +96,13 @@
 	return &conf.Product{Name: name}
 }
 
+func (a *audit) worth(rung int) float64 {
+	if rung >= 0 && rung < len(a.set.Worth) {
+		return a.set.Worth[rung]
+	}
+	return 0
+}
+
 // answers checks rule 1 and counts service: a viewer's retries belong to its first try.
 func (a *audit) answers() {
 	type ask struct {
@@ -105,6 +116,8 @@
 	first := map[string]int{}      // line of a viewer's first try
 	got := map[string]bool{}
 	asked, served := 0.0, 0.0
+	wanted, earned := 0.0, 0.0
+	products := map[string]*conf.Product{} // of plays
 	for i, l := range a.lines {
 		switch l.What {
 		case tape.Killed:
@@ -116,7 +129,9 @@
 			if l.First {
 				a.rep.Asked++
 				first[l.Viewer] = i
-				asked += a.product(l.Product).Importance
+				p := a.product(l.Product)
+				asked += p.Importance
+				wanted += p.Importance * a.worth(l.Rung) * float64(l.WatchMs)
 			}
 		case tape.Gone:
 			if q := asks[l.ID]; q != nil {
@@ -128,6 +143,11 @@
 				a.rep.Rungs = append(a.rep.Rungs, 0)
 			}
 			a.rep.Rungs[l.Rung]++
+			if p := products[l.Play]; p != nil {
+				earned += p.Importance * a.worth(l.Rung) * a.set.SegmentMs * max(0, 1-stall*max(0, 0.98-l.Share))
+			}
+		case tape.SetUp:
+			products[l.Play] = a.product(l.Product)
 		case tape.Answer:
 			q := asks[l.ID]
 			if q == nil {
@@ -178,7 +198,7 @@
 		for _, t := range killed[from.Front] { // what a killed front held is not its duty any more
 			excused = excused || t >= from.T && t <= from.T+from.LimitMs*1000
 		}
-		if a.down(from.Front, from.T) || excused {
+		if a.down(from.Front, q.line) || excused {
 			a.rep.Cut++
 			continue
 		}
@@ -189,15 +209,15 @@
 	if asked > 0 {
 		a.rep.Service = served / asked
 	}
+	if wanted > 0 {
+		a.rep.Worth = earned / wanted
+	}
 }
 
-// down tells that a front's process did not run at a time.
-func (a *audit) down(front string, t int64) bool {
+// down tells that a front's process did not run at a line of the tape.
+func (a *audit) down(front string, line int) bool {
 	down := false
-	for _, l := range a.lines {
-		if l.T > t {
-			break
-		}
+	for _, l := range a.lines[:line] {
 		if l.Front == front && l.What == tape.Killed {
 			down = true
 		} else if l.Front == front && l.What == tape.Up {
--- a/lab/node.go
+++ b/lab/node.go
@@ -486,7 +486,7 @@
 		http.Error(w, "rung not allowed", http.StatusForbidden)
 		return
 	}
-	f.tape.Add(tape.Line{What: tape.Served, Node: n.line.Name, Play: cl.Play, Rung: rung})
+	f.tape.Add(tape.Line{What: tape.Served, Node: n.line.Name, Play: cl.Play, Rung: rung, Share: share})
 	w.Header().Set(ShareHeader, strconv.FormatFloat(share, 'f', 3, 64))
 	w.Header().Set("Content-Type", "video/mp4")
 	w.Write(segment[:512*(rung+1)])
--- a/lab/player.go
+++ b/lab/player.go
@@ -76,6 +76,9 @@
 	if broken {
 		line.Note = "broken"
 	}
+	if first {
+		line.WatchMs, line.Rung = v.Watch.Milliseconds(), v.Top
+	}
 	limit := time.Duration(v.Product.LimitMs) * time.Millisecond
 	ctx, cancel := context.WithTimeout(ctx, limit+2*time.Second) // longer than its limit, to see what comes late
 	defer cancel()
--- a/lab/sim.go
+++ b/lab/sim.go
@@ -774,6 +774,9 @@
 	if v.broken {
 		line.Note = "broken"
 	}
+	if v.first {
+		line.WatchMs, line.Rung = v.Watch.Milliseconds(), v.Top
+	}
 	v.first = false
 	s.add(line)
 	limit := s.now + int64(v.Product.LimitMs)*front.Ms
@@ -893,7 +896,7 @@
 	if share < 0.98 {
 		s.short++
 	}
-	s.add(tape.Line{What: tape.Served, Node: n.line.Name, Play: play, Rung: p.Rung})
+	s.add(tape.Line{What: tape.Served, Node: n.line.Name, Play: play, Rung: p.Rung, Share: share})
 	if p.Rung != v.rung { // told by the node: its manifest is asked for again
 		v.rung = p.Rung
 		v.ask()
--- a/lab/tape/tape.go
+++ b/lab/tape/tape.go
@@ -42,21 +42,23 @@
 
 // Line is one thing that passed. T is in microseconds since the tape began.
 type Line struct {
-	T       int64  `json:"t"`
-	What    string `json:"what"`
-	ID      int64  `json:"id,omitempty"`
-	Front   string `json:"front,omitempty"`
-	Node    string `json:"node,omitempty"`
-	Play    string `json:"play,omitempty"`
-	Try     int    `json:"try,omitempty"`
-	Viewer  string `json:"viewer,omitempty"`
-	Product string `json:"product,omitempty"`
-	Title   string `json:"title,omitempty"`
-	Rung    int    `json:"rung,omitempty"`
-	LimitMs int64  `json:"limit_ms,omitempty"`
-	First   bool   `json:"first,omitempty"` // of an Ask: the viewer's first try
-	Status  int    `json:"status,omitempty"`
-	Note    string `json:"note,omitempty"`
+	T       int64   `json:"t"`
+	What    string  `json:"what"`
+	ID      int64   `json:"id,omitempty"`
+	Front   string  `json:"front,omitempty"`
+	Node    string  `json:"node,omitempty"`
+	Play    string  `json:"play,omitempty"`
+	Try     int     `json:"try,omitempty"`
+	Viewer  string  `json:"viewer,omitempty"`
+	Product string  `json:"product,omitempty"`
+	Title   string  `json:"title,omitempty"`
+	Rung    int     `json:"rung,omitempty"`
+	LimitMs int64   `json:"limit_ms,omitempty"`
+	First   bool    `json:"first,omitempty"`    // of an Ask: the viewer's first try
+	WatchMs int64   `json:"watch_ms,omitempty"` // of a first Ask: how long the viewer means to watch; Rung is its best
+	Share   float64 `json:"share,omitempty"`    // of Served: the share of its rate that was delivered
+	Status  int     `json:"status,omitempty"`
+	Note    string  `json:"note,omitempty"`
 }
 
 // Tape collects lines of many goroutines in the order of their times.
