--- a/cmd/gullrail/kit.go
+++ b/cmd/gullrail/kit.go
@@ -237,7 +237,7 @@
 		tapes = append(tapes, lines)
 	}
 	rep, all := s.day.Audit(tapes...)
-	if err := writeTape(filepath.Join(s.run.Folder, "tape.jsonl"), all); err != nil {
+	if err := keep(s.run.Folder, v.File, s.day, &lab.Outcome{Report: rep, Lines: all}); err != nil {
 		return err
 	}
 	return report(rep, short.Short, time.Since(began), v.JSON)
--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -20,6 +20,7 @@
 	"gullrail/conf"
 	"gullrail/lab"
 	"gullrail/lab/audit"
+	"gullrail/lab/page"
 	"gullrail/lab/tape"
 	"gullrail/serve"
 )
@@ -92,7 +93,7 @@
 	Seed   uint64 `help:"Play it with this seed in place of the day's."`
 	Sim    bool   `help:"Play it in simulated time, without sockets: the same cores over a simulated transport."`
 	Module string `help:"In simulated time: the module of the project, or a baseline." enum:"choice,random,least" default:"choice"`
-	Keep   string `help:"Keep the fronts' settings and logs and the tape in this folder." type:"path"`
+	Keep   string `help:"Keep the fronts' settings and logs, the tape and a page of the run in this folder." type:"path"`
 }
 
 func (v *rehearseVerb) Run(ctx context.Context) error {
@@ -113,7 +114,7 @@
 			if err := os.MkdirAll(v.Keep, 0o755); err != nil {
 				return err
 			}
-			if err := writeTape(filepath.Join(v.Keep, "tape.jsonl"), out.Lines); err != nil {
+			if err := keep(v.Keep, v.File, day, out); err != nil {
 				return err
 			}
 		}
@@ -149,13 +150,29 @@
 		return err
 	}
 	if v.Keep != "" {
-		if err := writeTape(filepath.Join(folder, "tape.jsonl"), out.Lines); err != nil {
+		if err := keep(folder, v.File, day, out); err != nil {
 			return err
 		}
 	}
 	return report(out.Report, out.Short, out.Took, v.JSON)
 }
 
+// keep writes a run's tape and its page into a folder.
+func keep(folder, file string, day *lab.Day, out *lab.Outcome) error {
+	if err := writeTape(filepath.Join(folder, "tape.jsonl"), out.Lines); err != nil {
+		return err
+	}
+	f, err := os.Create(filepath.Join(folder, "report.html"))
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	if err := page.Write(f, fmt.Sprintf("%s, seed %d", filepath.Base(file), day.Seed), day, out.Lines, out.Report); err != nil {
+		return err
+	}
+	return f.Close()
+}
+
 func writeTape(file string, lines []tape.Line) error {
 	f, err := os.Create(file)
 	if err != nil {
