Next life adopts plays and seats, a retiring front lets them go, a moved viewer's token: on sockets

Tests on sockets: a front started again takes over three paid plays, gives none of their seats twice and sets nothing up anew; a retiring one ends its plays at their nodes. A moved play's token brings its viewer back once.

--- a/lab/path_test.go
+++ b/lab/path_test.go
@@ -409,6 +409,45 @@
 	}
 }
 
+func TestNextLifeAdoptsWhatPlaysAndItsSeats(t *testing.T) {
+	r := newRig(t, 4)
+	var first []reply
+	for i := range 3 { // all seats of the title
+		first = append(first, r.playing("clip", "paid", fmt.Sprint("v", i)))
+	}
+	r.stop()
+	r.startFront()
+	if n := r.front.Counts(context.Background()); n.Adopted != 3 || n.InHand != 3 {
+		t.Fatalf("adopted: %+v", n)
+	}
+	if x := r.ask("clip", "paid", "w"); x.status != http.StatusServiceUnavailable {
+		t.Fatalf("a seat was given twice: %d %s", x.status, x.body)
+	}
+	if x := r.get(first[0].manifest.Location); x.status != http.StatusOK || x.play != first[0].play {
+		t.Fatalf("its viewers keep it: %d %s", x.status, x.body)
+	}
+	if n := r.count(tape.SetUp, ""); n != 3 {
+		t.Fatalf("%d set-ups for three plays", n)
+	}
+}
+
+func TestRetiringFrontLetsItsPlaysGo(t *testing.T) {
+	r := newRig(t, 2)
+	for i := range 4 {
+		r.playing("clip", "safe", fmt.Sprint("v", i))
+	}
+	r.settings.Retire = true
+	r.stop()
+	if r.count(tape.End, "") != 0 {
+		t.Fatal("a front whose next life is expected leaves its plays alone")
+	}
+	r.startFront()
+	r.stop()
+	if n := r.count(tape.End, ""); n != 4 {
+		t.Fatalf("%d of 4 plays were let go", n)
+	}
+}
+
 func TestThousandsOfPlayersGetOneAnswerEach(t *testing.T) {
 	day, err := ParseDay("day", []byte(`{"service": `+strings.Replace(testService, `"fronts": 1`, `"fronts": 2`, 1)+`,
 	"day": {"seconds": 10, "seed": 3, "nodes": 8, "rate": 250, "set_up_ms": [1, 10], "list_late_ms": 200, "idle_ms": 2000,
--- a/lab/rig_test.go
+++ b/lab/rig_test.go
@@ -46,6 +46,7 @@
 	registry *Registry
 	minter   *token.Minter
 	addr     string
+	settings conf.Front
 	front    *serve.Front
 	client   *http.Client
 	nodes    []*Node
@@ -91,35 +92,44 @@
 	if err := r.registry.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	r.front, err = serve.Listen(conf.Front{Name: "f", Zone: "z", Listen: "127.0.0.1:0", ListURL: "http://" + r.registry.addr + "/v1/list",
-		Seed: 1, Waiting: 64, Sockets: 1000, TokenMs: 60000, EndMs: 3000, Keys: keys, Service: set}, time.Now().UnixNano(), zerolog.Nop())
+	r.settings = conf.Front{Name: "f", Zone: "z", Listen: "127.0.0.1:0", ListURL: "http://" + r.registry.addr + "/v1/list",
+		Seed: 1, Waiting: 64, Sockets: 1000, TokenMs: 60000, EndMs: 3000, Keys: keys, Service: set}
+	r.startFront()
+	t.Cleanup(func() {
+		r.client.CloseIdleConnections()
+		if r.stop != nil {
+			r.stop()
+		}
+		for _, n := range r.nodes {
+			n.crash(tape.Crash)
+			n.wg.Wait()
+		}
+		r.registry.Stop()
+	})
+	return r
+}
+
+// startFront starts a life of the front, the first or a later one, and waits until it is ready.
+func (r *rig) startFront() {
+	r.t.Helper()
+	front, err := serve.Listen(r.settings, time.Now().UnixNano(), zerolog.Nop())
 	if err != nil {
-		t.Fatal(err)
+		r.t.Fatal(err)
 	}
-	r.addr = r.front.Addr()
+	r.front, r.addr = front, front.Addr()
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- r.front.Run(ctx) }()
+	go func() { done <- front.Run(ctx) }()
 	var once sync.Once
 	r.stop = func() {
 		once.Do(func() {
 			cancel()
 			if err := <-done; err != nil {
-				t.Error(err)
+				r.t.Error(err)
 			}
 		})
 	}
-	t.Cleanup(func() {
-		r.client.CloseIdleConnections()
-		r.stop()
-		for _, n := range r.nodes {
-			n.crash(tape.Crash)
-			n.wg.Wait()
-		}
-		r.registry.Stop()
-	})
 	r.eventually("the front is ready", func() bool { return r.get("/readyz").status == http.StatusOK })
-	return r
 }
 
 // eventually waits for an event, for as long as a very slow machine might need.
--- a/session/core_test.go
+++ b/session/core_test.go
@@ -431,3 +431,29 @@
 		t.Fatalf("what plays is let go: %v", out.ends)
 	}
 }
+
+func TestTokenOfAMovedPlayBringsItsViewerBackOnce(t *testing.T) {
+	c, out := core(2)
+	x := plays(t, c, out, want(0, "v"))
+	c.carry(ready, &front.Result{Orders: []front.Order{{Play: c.plays[x.Play].h, Do: front.Move}}})
+	if len(out.ends) != 1 || c.Counts().InHand != 0 {
+		t.Fatalf("a move ends it at its node: %v", out.ends)
+	}
+	back := func() Ask {
+		a := want(0, "v")
+		a.Back = &Back{Play: x.Play}
+		return a
+	}
+	a := back()
+	c.Ask(ready, a)
+	s := out.last(t)
+	c.Started(ready, s.Ref, 7, 2, s.Rung, front.Untold)
+	if y := got(t, a); y.Verdict != Plays || y.Play == x.Play {
+		t.Fatalf("placed anew: %+v", y)
+	}
+	a = back()
+	c.Ask(ready, a)
+	if y := got(t, a); y.Verdict != Denied || len(out.setUps) != 2 {
+		t.Fatalf("replayed after the move: %+v", y)
+	}
+}
