--- a/conf/service.go
+++ b/conf/service.go
@@ -242,6 +242,9 @@
 	Waiting int    // requests that wait at most
 	Sockets int    // connections of players at most
 	TokenMs float64
+	Cert    string // files of the certificate shown to players and its key; empty speaks plainly
+	CertKey string
+	NodesCA string  // file of the authorities that vouch for nodes; empty speaks plainly to them
 	State   string  // folder for what outlives the process; empty is none
 	EndMs   float64 // an orderly end takes no longer
 	Retire  bool    // at its end it lets its plays go, as nobody takes its place
@@ -295,6 +298,16 @@
 	}
 	f.State, f.EndMs = e.At("state").TextOr(""), e.At("end_within_ms").NumberOr(max(1000, longest), 100, mostMs)
 	f.Retire = e.At("retire").BoolOr(false)
+	if t := e.At("tls"); t.Given() {
+		t.Object(true)
+		f.Cert, f.CertKey = t.At("cert").Text(), t.At("key").Text()
+		t.Done()
+	}
+	if t := e.At("nodes_tls"); t.Given() {
+		t.Object(true)
+		f.NodesCA = t.At("ca").Text()
+		t.Done()
+	}
 	e.Done()
 	l := v.At("list").Object(true)
 	f.ListURL = l.At("url").Text()
--- a/dash/dash.go
+++ b/dash/dash.go
@@ -34,13 +34,15 @@
 	life   time.Duration // of a token
 	asker  Asker
 	name   string
+	media  string // scheme of the nodes' addresses for players
 	log    zerolog.Logger
 	mux    *http.ServeMux
 }
 
-// NewFront makes the handler. Tokens live for life; name is the front's own.
-func NewFront(name string, set *conf.Service, tokens *token.Minter, life time.Duration, a Asker, log zerolog.Logger) *Front {
-	f := &Front{set: set, tokens: tokens, life: life, asker: a, name: name, log: log, mux: http.NewServeMux()}
+// NewFront makes the handler. Tokens live for life; name is the front's own; media is http or https, as
+// players reach the nodes.
+func NewFront(name, media string, set *conf.Service, tokens *token.Minter, life time.Duration, a Asker, log zerolog.Logger) *Front {
+	f := &Front{media: media, set: set, tokens: tokens, life: life, asker: a, name: name, log: log, mux: http.NewServeMux()}
 	f.mux.HandleFunc("GET /v1/titles/{title}/manifest.mpd", f.first)
 	f.mux.HandleFunc("GET /v1/plays/{token}/manifest.mpd", f.again)
 	f.mux.HandleFunc("DELETE /v1/plays/{token}", f.leave)
@@ -294,7 +296,7 @@
 		return nil, err
 	}
 	m := Manifest{Location: "/v1/plays/" + raw + "/manifest.mpd",
-		Base:    "http://" + ans.Address + "/v1/media/" + raw + "/" + url.PathEscape(ans.Title) + "/",
+		Base:    f.media + "://" + ans.Address + "/v1/media/" + raw + "/" + url.PathEscape(ans.Title) + "/",
 		Segment: f.set.SegmentMs, Refresh: f.set.SegmentMs}
 	if t, ok := f.set.Lookup(ans.Title); ok {
 		m.Seconds = t.Length
--- a/lab/node.go
+++ b/lab/node.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -41,7 +42,8 @@
 	tape    *tape.Tape
 	setUpMs [2]float64 // a set-up takes from so long to so long
 	idle    time.Duration
-	guard   float64 // set-ups are turned away while so much of the link is asked; 0 is never
+	tls     *tls.Config // nil speaks plainly
+	guard   float64     // set-ups are turned away while so much of the link is asked; 0 is never
 
 	mu    sync.Mutex
 	rnd   *rand.Rand
@@ -150,6 +152,9 @@
 		return fmt.Errorf("stand-in node %s: %w", n.line.Name, err)
 	}
 	f := n.fleet
+	if f.tls != nil {
+		listen = tls.NewListener(listen, f.tls)
+	}
 	f.mu.Lock()
 	n.ctx, n.kill = context.WithCancel(context.Background())
 	n.up, n.draining, n.life, n.mark = true, false, time.Now().UnixNano(), 0
--- a/lab/page/page.go
+++ b/lab/page/page.go
@@ -180,7 +180,7 @@
 		if err != nil {
 			return err
 		}
-		poly.Color, poly.LineStyle.Width = color.RGBA{200, 60, 60, 18}, 0
+		poly.Color, poly.LineStyle.Width = color.NRGBA{200, 60, 60, 22}, 0
 		p.Add(poly)
 	}
 	p.Add(plotter.NewGrid())
--- a/lab/rig_test.go
+++ b/lab/rig_test.go
@@ -46,6 +46,7 @@
 	registry *Registry
 	minter   *token.Minter
 	addr     string
+	scheme   string
 	settings conf.Front
 	front    *serve.Front
 	client   *http.Client
@@ -56,7 +57,13 @@
 // newRig starts n stand-in nodes and a front, and waits until it is ready. Further listed nodes may be given.
 func newRig(t *testing.T, n int, others ...nodes.Line) *rig {
 	t.Helper()
-	r := &rig{t: t, tape: tape.New(), client: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{}}}
+	return newRigWith(t, n, func(*rig) {}, others...)
+}
+
+// newRigWith lets a test change the rig before its nodes start.
+func newRigWith(t *testing.T, n int, change func(r *rig), others ...nodes.Line) *rig {
+	t.Helper()
+	r := &rig{t: t, scheme: "http", tape: tape.New(), client: &http.Client{Timeout: 10 * time.Second, Transport: &http.Transport{}}}
 	doc, v, err := conf.Parse("service", []byte(testService))
 	if err != nil {
 		t.Fatal(err)
@@ -72,6 +79,9 @@
 	}
 	r.fleet = &Fleet{set: r.set, check: r.minter.Checker, tape: r.tape, setUpMs: [2]float64{1, 5}, idle: 20 * time.Second,
 		rnd: rand.New(rand.NewPCG(1, 2)), nodes: map[string]*Node{}, racks: []rack{{1e9, 1}, {1e9, 1}}}
+	r.settings = conf.Front{Name: "f", Zone: "z", Listen: "127.0.0.1:0", Seed: 1, Waiting: 64, Sockets: 1000, TokenMs: 60000,
+		EndMs: 3000, Keys: keys, Service: set}
+	change(r)
 	r.registry = NewRegistry(r.tape, 0)
 	lines := others
 	for i := range n {
@@ -92,8 +102,7 @@
 	if err := r.registry.Start("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	r.settings = conf.Front{Name: "f", Zone: "z", Listen: "127.0.0.1:0", ListURL: "http://" + r.registry.addr + "/v1/list",
-		Seed: 1, Waiting: 64, Sockets: 1000, TokenMs: 60000, EndMs: 3000, Keys: keys, Service: set}
+	r.settings.ListURL = "http://" + r.registry.addr + "/v1/list"
 	r.startFront()
 	t.Cleanup(func() {
 		r.client.CloseIdleConnections()
@@ -153,7 +162,7 @@
 
 func (r *rig) get(path string, headers ...string) reply {
 	r.t.Helper()
-	return r.getAt("http://"+r.addr+path, headers...)
+	return r.getAt(r.scheme+"://"+r.addr+path, headers...)
 }
 
 func (r *rig) getAt(target string, headers ...string) reply {
--- a/nodes/client.go
+++ b/nodes/client.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -49,6 +50,7 @@
 	calls   http.Client // rungs, ends and probes, which may be repeated without harm
 	streams http.Client
 	slots   chan struct{}
+	secure  func() (*tls.Config, error) // nil speaks plainly
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -64,17 +66,54 @@
 
 var errRecalled = errors.New("recalled")
 
-// NewClient makes a client for one life of a front.
-func NewClient(name string, epoch int64, report bool, names Catalogue, r *session.Runner, log zerolog.Logger) *Client {
+// NewClient makes a client for one life of a front. Secure, if not nil, is asked before each dial for what
+// TLS towards the nodes goes by.
+func NewClient(name string, epoch int64, report bool, names Catalogue, r *session.Runner, secure func() (*tls.Config, error),
+	log zerolog.Logger) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
-	dialer := &net.Dialer{Timeout: session.Duration(pulse.ConnectFor)}
-	return &Client{name: name, epoch: epoch, report: report, names: names, runner: r, log: log,
-		calls: http.Client{Timeout: session.Duration(pulse.CallFor), Transport: &http.Transport{
-			DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: 15 * time.Second}},
-		streams: http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true,
-			ResponseHeaderTimeout: session.Duration(pulse.CallFor)}},
+	c := &Client{name: name, epoch: epoch, report: report, names: names, runner: r, secure: secure, log: log,
 		slots: make(chan struct{}, callsAtOne), ctx: ctx, cancel: cancel,
 		setUps: map[session.Ref]context.CancelCauseFunc{}, dialled: map[int]*dial{}}
+	dialFor := func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, session.Duration(pulse.ConnectFor))
+		defer cancel()
+		return c.dial(ctx, address)
+	}
+	// Scheme http with a dialer that does TLS itself keeps set-ups and all else on one way to the nodes.
+	c.calls = http.Client{Timeout: session.Duration(pulse.CallFor), Transport: &http.Transport{
+		DialContext: dialFor, MaxIdleConnsPerHost: 4, IdleConnTimeout: 15 * time.Second}}
+	c.streams = http.Client{Transport: &http.Transport{DialContext: dialFor, DisableKeepAlives: true,
+		ResponseHeaderTimeout: session.Duration(pulse.CallFor)}}
+	return c
+}
+
+// dial opens a connection to a node, with its TLS done where that is asked for. An error proves that no
+// byte of a request was sent.
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	if err != nil || c.secure == nil {
+		return conn, err
+	}
+	config, err := c.secure()
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(address)
+		if err != nil {
+			conn.Close()
+			return nil, err
+		}
+		config = config.Clone()
+		config.ServerName = host
+	}
+	secured := tls.Client(conn, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		conn.Close()
+		return nil, fmt.Errorf("TLS with %s: %w", address, err)
+	}
+	return secured, nil
 }
 
 // Close ends all that is under way and waits for it.
@@ -140,8 +179,13 @@
 		c.log.Error().Err(err).Str("play", a.Play).Msg("set-up not sent")
 		return Started{}, front.NotSent, front.Untold
 	}
-	dialer := net.Dialer{Timeout: session.Duration(pulse.ConnectFor), Deadline: until}
-	conn, err := dialer.DialContext(ctx, "tcp", a.Address)
+	last := time.Now().Add(session.Duration(pulse.ConnectFor))
+	if until.Before(last) {
+		last = until
+	}
+	dialling, cancel := context.WithDeadline(ctx, last)
+	conn, err := c.dial(dialling, a.Address)
+	cancel()
 	if err != nil {
 		if ctx.Err() != nil {
 			return Started{}, front.NotSent, front.Untold
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"crypto/ed25519"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"net"
@@ -43,21 +44,39 @@
 	if err != nil {
 		return nil, err
 	}
+	var shown *certificate
+	if set.Cert != "" {
+		if shown, err = newCertificate(set.Cert, set.CertKey, log); err != nil {
+			return nil, err
+		}
+	}
+	var secure func() (*tls.Config, error)
+	media := "http"
+	if set.NodesCA != "" {
+		ca, err := newAuthorities(set.NodesCA, log)
+		if err != nil {
+			return nil, err
+		}
+		secure, media = ca.config, "https"
+	}
 	listen, err := net.Listen("tcp", set.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("front %s: %w", set.Name, err)
 	}
 	listen = netutil.LimitListener(listen, set.Sockets)
+	if shown != nil {
+		listen = tls.NewListener(listen, &tls.Config{GetCertificate: shown.get, MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"}})
+	}
 	clock := session.NewClock()
 	seed := set.Seed + uint64(set.Number)*1_000_003 // fronts that share a settings file still draw apart
 	f := &Front{set: set, log: log, listen: listen, runner: session.NewRunner(clock, intake.New(set.Waiting, seed))}
 	service := &f.set.Service
-	f.client = nodes.NewClient(set.Name, epoch, service.Reports == "answers", service, f.runner, log)
+	f.client = nodes.NewClient(set.Name, epoch, service.Reports == "answers", service, f.runner, secure, log)
 	module := choice.New(service.Terms(set.Number, set.Zone), seed)
 	f.core = session.NewCore(clock.Now(), set.Name, epoch, module, f.client, service, seed)
 	mux := http.NewServeMux()
 	life := time.Duration(set.TokenMs * float64(time.Millisecond))
-	mux.Handle("/v1/", dash.NewFront(set.Name, service, minter, life, f.runner, log))
+	mux.Handle("/v1/", dash.NewFront(set.Name, media, service, minter, life, f.runner, log))
 	mux.HandleFunc("GET /readyz", f.ready)
 	mux.Handle("GET /metrics", f.metrics())
 	f.server = &http.Server{Handler: mux, ReadHeaderTimeout: session.Duration(intake.HeaderFor),
