--- a/cmd/gullrail/kit.go
+++ b/cmd/gullrail/kit.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -22,6 +23,7 @@
 
 type kitVerbs struct {
 	Up     kitUp     `cmd:"" help:"Start a day's list service, nodes and fronts as processes, and leave them running."`
+	All    kitAll    `cmd:"" help:"Play every day of a folder, a line each; exit 1 if a rule broke on any."`
 	Run    kitRun    `cmd:"" help:"Play a day by processes of its own, end them all, and report."`
 	Down   kitDown   `cmd:"" help:"End the run of a folder in order."`
 	Status kitStatus `cmd:"" help:"List the processes of a folder's run."`
@@ -199,15 +201,24 @@
 	JSON bool   `help:"Print the report as JSON."`
 }
 
-func (v *kitRun) Run(ctx context.Context) (err error) {
+func (v *kitRun) Run(ctx context.Context) error {
 	say := io.Writer(os.Stdout)
 	if v.JSON {
 		say = os.Stderr
 	}
 	began := time.Now()
+	out, err := v.played(ctx, say)
+	if err != nil {
+		return err
+	}
+	return report(out.Report, out.Short, time.Since(began), v.JSON)
+}
+
+// played plays the day and leaves its tape and page in the run folder.
+func (v *kitRun) played(ctx context.Context, say io.Writer) (*lab.Outcome, error) {
 	s, err := start(ctx, v.Dir, v.File, v.Seed, func(format string, args ...any) { fmt.Fprintf(say, "  "+format+"\n", args...) })
 	if s == nil {
-		return err
+		return nil, err
 	}
 	var short struct{ Short float64 }
 	if err == nil {
@@ -217,30 +228,77 @@
 	}
 	_, e := s.run.Clean(endsWithin)
 	if err = errors.Join(err, e); err != nil {
-		return err
+		return nil, err
 	}
 	files, err := filepath.Glob(filepath.Join(s.run.Folder, "tapes", "*.jsonl"))
 	if err != nil {
-		return err
+		return nil, err
 	}
 	tapes := [][]tape.Line{s.tape.Lines()}
 	for _, file := range files {
 		f, err := os.Open(file)
 		if err != nil {
-			return err
+			return nil, err
 		}
 		lines, err := tape.Read(f)
 		f.Close()
 		if err != nil {
-			return fmt.Errorf("%s: %w", file, err)
+			return nil, fmt.Errorf("%s: %w", file, err)
 		}
 		tapes = append(tapes, lines)
 	}
-	rep, all := s.day.Audit(tapes...)
-	if err := keep(s.run.Folder, v.File, s.day, &lab.Outcome{Report: rep, Lines: all}); err != nil {
-		return err
+	out := &lab.Outcome{Short: short.Short}
+	out.Report, out.Lines = s.day.Audit(tapes...)
+	return out, keep(s.run.Folder, v.File, s.day, out)
+}
+
+type kitAll struct {
+	kitFolder
+	Days string `arg:"" help:"A folder of days." type:"existingdir"`
+	Seed uint64 `help:"Play them with this seed in place of their own."`
+	Sim  bool   `help:"In simulated time, without processes."`
+}
+
+func (v *kitAll) Run(ctx context.Context) error {
+	files, err := filepath.Glob(filepath.Join(v.Days, "*.jsonc"))
+	if err != nil || len(files) == 0 {
+		return wrong{errors.Join(err, fmt.Errorf("%s: no day (*.jsonc) there", v.Days))}
+	}
+	fmt.Printf("%-18s %8s %8s %8s %8s %8s  %s\n", "day", "asked", "declined", "failed", "service", "worth", "rules")
+	broken := 0
+	for _, file := range files {
+		var out *lab.Outcome
+		name := strings.TrimSuffix(filepath.Base(file), ".jsonc")
+		if v.Sim {
+			day, err := lab.ReadDay(file)
+			if err != nil {
+				return wrong{err}
+			}
+			if v.Seed != 0 {
+				day.Seed = v.Seed
+			}
+			out = (&lab.Sim{Day: day}).Run()
+		} else {
+			run := kitRun{kitFolder: kitFolder{filepath.Join(v.Dir, name)}, File: file, Seed: v.Seed}
+			if out, err = run.played(ctx, io.Discard); err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+		}
+		rules := "kept"
+		for i, r := range out.Report.Rules {
+			if len(r.Breaks) > 0 {
+				rules = fmt.Sprintf("rule %d BROKEN: %s", i+1, r.Breaks[0])
+				broken++
+				break
+			}
+		}
+		r := out.Report
+		fmt.Printf("%-18s %8d %8d %8d %8.3f %8.3f  %s\n", name, r.Asked, r.Declined, r.Failed, r.Service, r.Worth, rules)
+	}
+	if broken > 0 {
+		return fmt.Errorf("a rule is broken on %d of %d days", broken, len(files))
 	}
-	return report(rep, short.Short, time.Since(began), v.JSON)
+	return nil
 }
 
 // play lets the viewers in and plays the fronts' part of the script until the viewers are done.
--- a/conf/doc.go
+++ b/conf/doc.go
@@ -84,6 +84,9 @@
 	return d, Value{doc: d, at: root.StartOffset, end: root.EndOffset, val: root.Value, known: map[string]bool{}}, nil
 }
 
+// File is the file's name.
+func (d *Doc) File() string { return d.file }
+
 // Err returns all mistakes found so far, in the order of their lines, or nil.
 func (d *Doc) Err() error {
 	if len(d.mistakes) == 0 {
--- a/lab/day.go
+++ b/lab/day.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"path/filepath"
+	"slices"
 
 	"gullrail/conf"
 )
@@ -42,6 +44,7 @@
 	Nodes  []int
 	Front  int
 	Rack   int
+	Zone   int
 	Title  string
 	For    float64 // seconds; 0 is for good
 	Amount float64
@@ -52,19 +55,23 @@
 	needs  string // nodes, front, rack, title or nothing
 	amount string
 }{
-	"drain":       {"nodes", "seconds from the word to the end of the process"},
-	"crash":       {"nodes", ""}, // it comes back cold after For
-	"silence":     {"nodes", ""}, // it takes all and answers nothing
-	"slow":        {"nodes", "set-ups take so many times as long"},
-	"errors":      {"nodes", "share of set-ups that fail"},
-	"vanish":      {"nodes", "share of answers that vanish"},
-	"neighbour":   {"nodes", "share of the link that another program takes"},
-	"uplink":      {"rack", "the uplink gives so many times less"},
-	"list-down":   {"", ""},
-	"list-late":   {"", "seconds more"},
-	"crowd":       {"title", "share of new viewers who want this title"},
-	"front-kill":  {"front", ""}, // it is started again after For
-	"front-stall": {"front", ""},
+	"drain":        {"nodes", "seconds from the word to the end of the process"},
+	"crash":        {"nodes", ""}, // it comes back cold after For
+	"silence":      {"nodes", ""}, // it takes all and answers nothing
+	"slow":         {"nodes", "set-ups take so many times as long"},
+	"errors":       {"nodes", "share of set-ups that fail"},
+	"vanish":       {"nodes", "share of answers that vanish"},
+	"neighbour":    {"nodes", "share of the link that another program takes"},
+	"uplink":       {"rack", "the uplink gives so many times less"},
+	"list-down":    {"", ""},
+	"list-late":    {"", "seconds more"},
+	"crowd":        {"title", "share of new viewers who want this title"},
+	"front-kill":   {"front", ""}, // it is started again after For
+	"front-stall":  {"front", ""},
+	"ageing":       {"nodes", "so many times slower in the end, after For; then they die and come back cold"},
+	"reports-late": {"", "seconds that loads and shares are told later"},
+	"zone-cut":     {"zone", ""}, // between this zone's fronts and nodes and all others
+	"shift":        {"front", "share of new viewers who ask this front first"},
 }
 
 // ReadDay reads and checks a day.
@@ -87,11 +94,21 @@
 
 func readDay(doc *conf.Doc, v conf.Value) (*Day, error) {
 	v.Object(true)
-	sv := v.At("service")
-	d := &Day{Service: conf.ReadService(sv)}
+	sv, d := v.At("service"), &Day{}
+	var shared *conf.Doc
+	if file := v.At("service_file"); file.Given() { // a service that several days share
+		var err error
+		if shared, sv, err = conf.Open(filepath.Join(filepath.Dir(doc.File()), file.Text())); err != nil {
+			return nil, err
+		}
+	}
+	d.Service = conf.ReadService(sv)
 	if sv.Given() {
 		d.RawService = sv.Raw()
 	}
+	if shared != nil && shared.Err() != nil {
+		return nil, shared.Err()
+	}
 	e := v.At("day").Object(true)
 	d.Seconds, d.Seed = e.At("seconds").Number(1, 86400), uint64(e.At("seed").WholeOr(1, 0, 1<<53))
 	d.Nodes, d.Rate = e.At("nodes").Whole(1, 10000), e.At("rate").Number(0, 10000)
@@ -149,12 +166,20 @@
 		f.Front = v.At("front").Whole(0, d.Service.Fronts-1)
 	case "rack":
 		f.Rack = v.At("rack").Whole(0, d.Service.Racks-1)
+	case "zone":
+		name := v.At("zone").Text()
+		if f.Zone = slices.Index(d.Service.Zones, name); f.Zone < 0 {
+			v.At("zone").Wrong("the service has no such zone")
+		}
 	case "title":
 		f.Title = v.At("title").Text()
 		if _, ok := d.Service.Lookup(f.Title); !ok {
 			v.At("title").Wrong("the service has no such title")
 		}
 	}
+	if f.Do == "ageing" && f.For <= 0 {
+		v.At("for_s").Wrong("how long they age is needed here")
+	}
 	if kind.amount != "" {
 		f.Amount = v.At("amount").Number(0, 1e6)
 	}
@@ -173,6 +198,8 @@
 		s += fmt.Sprintf(" rack %d", f.Rack)
 	case "title":
 		s += " " + f.Title
+	case "zone":
+		s += fmt.Sprintf(" zone %d", f.Zone)
 	}
 	if f.Amount > 0 {
 		s += fmt.Sprintf(" by %v", f.Amount)
--- a/lab/node.go
+++ b/lab/node.go
@@ -13,6 +13,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"strings"
 	"sync"
 	"time"
 
@@ -49,6 +50,36 @@
 	rnd   *rand.Rand
 	nodes map[string]*Node
 	racks []rack
+	late  float64 // seconds that loads and shares are told later
+	apart int     // zone that is cut off, from 1; 0 is none
+}
+
+// cut cuts a zone off from the others, or none for -1. The lock is held.
+func (f *Fleet) cut(zone int) { f.apart = zone + 1 }
+
+// reaches tells that a front and this node are on one side of a cut. The lock is held.
+func (n *Node) reaches(front string) bool {
+	apart, zones := n.fleet.apart, n.fleet.set.Zones
+	if apart == 0 {
+		return true
+	}
+	number, err := strconv.Atoi(strings.TrimPrefix(front, "f"))
+	return err != nil || (number%len(zones) == apart-1) == (n.line.Zone == zones[apart-1])
+}
+
+// cutOff hangs up on a front that can't reach this node: a cut without privileges is a connection that
+// breaks at once.
+func (n *Node) cutOff(w http.ResponseWriter, front string) bool {
+	n.fleet.mu.Lock()
+	ok := n.reaches(front)
+	n.fleet.mu.Unlock()
+	if ok {
+		return false
+	}
+	if c, _, err := http.NewResponseController(w).Hijack(); err == nil {
+		c.Close()
+	}
+	return true
 }
 
 type rack struct {
@@ -88,8 +119,23 @@
 }
 
 type shareAt struct {
-	at    time.Time
-	share float64
+	at           time.Time
+	share        float64
+	link, uplink float64
+}
+
+// told is what the node tells of its loads: as they are, or as they were where reports are late.
+func (n *Node) told() (link, uplink float64) {
+	link, uplink = n.loads()
+	if n.fleet.late > 0 {
+		old := time.Now().Add(-time.Duration(n.fleet.late * float64(time.Second)))
+		for _, s := range n.shares {
+			if link, uplink = s.link, s.uplink; s.at.After(old) {
+				break
+			}
+		}
+	}
+	return link, uplink
 }
 
 type running struct {
@@ -248,7 +294,7 @@
 }
 
 func (n *Node) report(w http.ResponseWriter) {
-	link, uplink := n.loads()
+	link, uplink := n.told()
 	l := front.Load{Streams: float64(len(n.plays)), Link: link, Uplink: -1}
 	if n.fleet.set.Uplinks {
 		l.Uplink = uplink
@@ -263,6 +309,9 @@
 		answer(w, http.StatusBadRequest, nodes.Refusal{NeverRan: true, Why: err.Error()})
 		return
 	}
+	if n.cutOff(w, ask.Front) {
+		return
+	}
 	line := tape.Line{What: tape.SetUp, Node: n.line.Name, Front: ask.Front, Play: id, Try: ask.Try, Product: ask.Product,
 		Title: ask.Title, Viewer: ask.Viewer, Rung: ask.Rung}
 	f.tape.Add(line)
@@ -422,6 +471,9 @@
 
 func (n *Node) endPlay(w http.ResponseWriter, r *http.Request) {
 	f, q := n.fleet, r.URL.Query()
+	if n.cutOff(w, q.Get("front")) {
+		return
+	}
 	try, err := strconv.Atoi(q.Get("try"))
 	if err != nil {
 		answer(w, http.StatusBadRequest, nodes.Refusal{Why: "try is needed"})
@@ -443,7 +495,7 @@
 }
 
 func (n *Node) load(w http.ResponseWriter, r *http.Request) {
-	if !n.hushed(r.Context()) {
+	if n.cutOff(w, r.URL.Query().Get("front")) || !n.hushed(r.Context()) {
 		return
 	}
 	n.fleet.mu.Lock()
@@ -501,10 +553,10 @@
 
 // serveStream is the stream of notes to one front.
 func (n *Node) serveStream(w http.ResponseWriter, r *http.Request) {
-	if !n.hushed(r.Context()) {
+	f, name := n.fleet, r.URL.Query().Get("front")
+	if n.cutOff(w, name) || !n.hushed(r.Context()) {
 		return
 	}
-	f, name := n.fleet, r.URL.Query().Get("front")
 	epoch, err := strconv.ParseInt(r.URL.Query().Get("epoch"), 10, 64)
 	if err != nil || name == "" {
 		answer(w, http.StatusBadRequest, nodes.Refusal{Why: "front and epoch are needed"})
@@ -551,6 +603,9 @@
 	defer beat.Stop()
 	for {
 		note := nodes.Note{Kind: nodes.Beat}
+		if n.cutOff(w, name) {
+			return
+		}
 		select {
 		case note = <-s.notes:
 		case <-beat.C:
@@ -617,14 +672,21 @@
 // tellShares tells each front, on one of its plays here, the share delivered a while ago, while it is short
 // and once more, and now and then what is asked where reports come in answers. The lock is held.
 func (n *Node) tellShares(now time.Time, lag time.Duration, loads bool) {
-	n.shares = append(n.shares, shareAt{now, n.share()})
+	link, uplink := n.loads()
+	n.shares = append(n.shares, shareAt{now, n.share(), link, uplink})
+	if len(n.shares) > 64 {
+		n.shares = n.shares[1:]
+	}
+	lag += time.Duration(n.fleet.late * float64(time.Second))
 	old, before := 1.0, 1.0
-	for len(n.shares) > 0 && now.Sub(n.shares[0].at) >= lag {
-		before, old = old, n.shares[0].share
-		if len(n.shares) == 1 || now.Sub(n.shares[1].at) < lag {
+	for i, x := range n.shares {
+		if now.Sub(x.at) < lag {
 			break
 		}
-		n.shares = n.shares[1:]
+		old = x.share
+		if i > 0 {
+			before = n.shares[i-1].share
+		}
 	}
 	one := map[string]*running{}
 	var names []string
@@ -637,7 +699,7 @@
 		}
 	}
 	sort.Strings(names)
-	link, uplink := n.loads()
+	link, uplink = n.told()
 	if !n.fleet.set.Uplinks {
 		uplink = -1
 	}
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -47,7 +47,8 @@
 	viewers  bool          // are in this process
 	all      []*Node
 	crowd    map[string]float64
-	mu       sync.Mutex // of crowd
+	lean     lean
+	mu       sync.Mutex // of crowd and lean
 	wg       sync.WaitGroup
 }
 
@@ -403,6 +404,7 @@
 	at    float64 // seconds
 	front int
 	drawn float64
+	lean  float64 // the same for a shift of viewers to one front
 	v     *Viewer
 }
 
@@ -440,13 +442,26 @@
 					break
 				}
 			}
-			if !yield(arrival{at, rnd.IntN(fronts), rnd.Float64(), v}) {
+			if !yield(arrival{at, rnd.IntN(fronts), rnd.Float64(), rnd.Float64(), v}) {
 				return
 			}
 		}
 	}
 }
 
+// lean is a shift of viewers to one front.
+type lean struct {
+	front int
+	share float64
+}
+
+func (l lean) first(a arrival) int {
+	if a.lean < l.share {
+		return l.front
+	}
+	return a.front
+}
+
 // crowded is the title that a viewer wants while crowds come for some.
 func (d *Day) crowded(a arrival, crowd map[string]float64) string {
 	for _, t := range d.Service.Titles {
@@ -469,6 +484,9 @@
 		}
 	}
 	for a := range d.arrivals(len(fronts)) {
+		r.mu.Lock()
+		a.front = r.lean.first(a)
+		r.mu.Unlock()
 		for i := range fronts {
 			f := fronts[(a.front+i)%len(fronts)]
 			a.v.Fronts, a.v.Names = append(a.v.Fronts, f.Address), append(a.v.Names, f.Name)
@@ -581,6 +599,39 @@
 			delete(r.crowd, f.Title)
 			r.mu.Unlock()
 		}
+	case "shift":
+		r.mu.Lock()
+		r.lean = lean{f.Front, f.Amount}
+		r.mu.Unlock()
+		if f.For > 0 && wait(ctx, f.For) {
+			r.mu.Lock()
+			r.lean = lean{}
+			r.mu.Unlock()
+		}
+	case "reports-late":
+		r.change(func() { r.fleet.late = f.Amount })
+		if f.For > 0 && wait(ctx, f.For) {
+			r.change(func() { r.fleet.late = 0 })
+		}
+	case "zone-cut":
+		r.change(func() { r.fleet.cut(f.Zone) })
+		if f.For > 0 && wait(ctx, f.For) {
+			r.change(func() { r.fleet.cut(-1) })
+		}
+	case "ageing":
+		each(func(n *Node) {
+			for age := 0.0; age < f.For; age++ {
+				r.change(func() { n.slow, n.taken = aged(f, age) })
+				if !wait(ctx, 1) {
+					return
+				}
+			}
+			n.crash(tape.Crash)
+			r.change(func() { n.slow, n.taken = 1, 0 })
+			if wait(ctx, agedBack) {
+				r.back(n)
+			}
+		})
 	case "front-kill":
 		if len(r.fronts) == 0 {
 			return
@@ -612,6 +663,17 @@
 	}
 }
 
+const (
+	agedBack = 4.0 // seconds after which a node that aged and died comes back
+	agedLink = 0.8 // share of its link that it has lost by then
+)
+
+// aged is how a node is after some seconds of ageing: slower, and with less of its link.
+func aged(f Fault, age float64) (slow, taken float64) {
+	part := age / f.For
+	return 1 + (f.Amount-1)*part, agedLink * part
+}
+
 func (r *Rehearsal) change(do func()) {
 	r.fleet.mu.Lock()
 	do()
--- a/lab/sim.go
+++ b/lab/sim.go
@@ -40,6 +40,9 @@
 	lines    []tape.Line
 	ids      int64
 	crowd    map[string]float64
+	lean     lean
+	late     float64 // seconds that loads and shares are told later
+	apart    int     // zone that is cut off, from 1; 0 is none
 	list     simList
 	segments int
 	short    int
@@ -107,7 +110,7 @@
 	taken  float64
 	fails  float64
 	vanish float64
-	shares []float64 // of the last ticks
+	shares []shareAt // of the last seconds
 	heard  map[int]int64
 }
 
@@ -143,8 +146,17 @@
 	return 1 / max(1, link, uplink)
 }
 
+// reaches tells that a front and a node are on one side of a cut.
+func (f *simFront) reaches(n *simNode) bool {
+	zones := f.sim.Day.Service.Zones
+	return f.sim.apart == 0 || (f.number%len(zones) == f.sim.apart-1) == (n.line.Zone == zones[f.sim.apart-1])
+}
+
 func (n *simNode) load() front.Load {
 	link, uplink := n.loads()
+	if k := len(n.shares) - 1 - int(n.sim.late); n.sim.late > 0 && len(n.shares) > 0 {
+		link, uplink = n.shares[max(0, k)].link, n.shares[max(0, k)].uplink
+	}
 	l := front.Load{Streams: float64(len(n.held)), Link: link, Uplink: -1}
 	if n.sim.Day.Service.Uplinks {
 		l.Uplink = uplink
@@ -264,22 +276,23 @@
 		n.drop(p)
 		s.add(tape.Line{What: tape.Ended, Node: n.line.Name, Front: s.fronts[p.front].name, Play: p.Play, Try: p.Try})
 		f, ref := s.fronts[p.front], p.Ref
-		if n.hushed == 0 {
+		if n.hushed == 0 && f.reaches(n) {
 			f.call(hop, func(now int64, c *session.Core) { c.PlayEnded(now, f.ref(ref, n), front.Served) })
 		}
 	}
 	if beat%4 != 0 {
 		return
 	}
-	n.shares = append(n.shares, n.share())
+	link, uplink := n.loads()
+	n.shares = append(n.shares, shareAt{share: n.share(), link: link, uplink: uplink})
 	if len(n.shares) > 64 {
 		n.shares = n.shares[1:]
 	}
-	lag := int(math.Round(s.Day.Service.NoteLagMs / 1000))
+	lag := int(math.Round(s.Day.Service.NoteLagMs/1000 + s.late))
 	if n.hushed > 0 || len(n.shares) <= lag+1 {
 		return
 	}
-	share, before := n.shares[len(n.shares)-1-lag], n.shares[len(n.shares)-2-lag]
+	share, before := n.shares[len(n.shares)-1-lag].share, n.shares[len(n.shares)-2-lag].share
 	told := map[int]bool{}
 	load := n.load()
 	load.Streams = -1
@@ -289,6 +302,9 @@
 		}
 		told[p.front] = true
 		f, ref := s.fronts[p.front], p.Ref
+		if !f.reaches(n) {
+			continue
+		}
 		if share < 0.98 || before < 0.98 {
 			f.call(hop, func(now int64, c *session.Core) { c.Share(now, f.ref(ref, n), share) })
 		}
@@ -411,13 +427,16 @@
 			}
 			sort.Ints(at)
 			for _, k := range at {
-				if n := f.streams[k]; n.up && n.hushed == 0 {
+				if n := f.streams[k]; n.up && n.hushed == 0 && f.reaches(n) {
 					f.core.Heard(f.sim.now, k)
 				}
 			}
 			f.gate.Beat(f.sim.now)
 		}
 		for _, n := range f.streams {
+			if !f.reaches(n) {
+				continue
+			}
 			n.heard[f.number] = f.sim.now // the socket stays open whether its process stands or not
 		}
 		f.beat(life)
@@ -451,6 +470,10 @@
 		f.settle(a.Ref, p, front.NoConnect, hop)
 		return
 	}
+	if !f.reaches(n) {
+		f.settle(a.Ref, p, front.Lost, hop) // as on sockets: the connection breaks
+		return
+	}
 	p.sent = true
 	line := tape.Line{What: tape.SetUp, Node: n.line.Name, Front: f.name, Play: a.Play, Try: a.Try,
 		Product: s.Day.Service.Products[a.Product].Name, Title: a.Title, Viewer: a.Viewer, Rung: a.Rung}
@@ -539,7 +562,7 @@
 	try = func() {
 		switch {
 		case !n.up || n.life != life:
-		case n.hushed > 0:
+		case n.hushed > 0 || !f.reaches(n):
 			f.sim.after(front.Second, try)
 		default:
 			do(n)
@@ -561,7 +584,7 @@
 func (f *simFront) End(r session.Ref, address, why string) {
 	n := f.sim.nodes[address]
 	f.sim.after(hop, func() {
-		if n.up {
+		if n.up && f.reaches(n) {
 			f.sim.add(tape.Line{What: tape.End, Node: n.line.Name, Front: f.name, Play: r.Play, Try: r.Try, Note: why})
 		}
 	})
@@ -578,7 +601,7 @@
 	f.sim.after(hop, func() {
 		how, load, after := front.Served, front.Untold, int64(hop)
 		switch {
-		case !n.up:
+		case !n.up || !f.reaches(n):
 			how = front.NoConnect
 		case n.hushed > 0:
 			how, after = front.NoAnswer, pulse.ProbeFor
@@ -600,6 +623,8 @@
 		case !f.up || f.life != life:
 		case !n.up:
 			f.call(hop, func(now int64, c *session.Core) { c.StreamBroke(now, node, true) })
+		case !f.reaches(n):
+			f.call(hop, func(now int64, c *session.Core) { c.StreamBroke(now, node, false) })
 		case n.hushed > 0:
 			f.call(pulse.CallFor, func(now int64, c *session.Core) { c.StreamBroke(now, node, false) })
 		default:
@@ -958,7 +983,7 @@
 		for a := range d.arrivals(len(s.fronts)) {
 			s.seconds(a.at, func() {
 				a.v.Title = d.crowded(a, s.crowd)
-				v := &simViewer{Viewer: a.v, sim: s, front: a.front, began: s.now, first: true}
+				v := &simViewer{Viewer: a.v, sim: s, front: s.lean.first(a), began: s.now, first: true}
 				v.until = s.now + session.Ticks(a.v.Watch)
 				v.ask()
 			})
@@ -1048,6 +1073,26 @@
 	case "crowd":
 		s.crowd[f.Title] = f.Amount
 		lasts(func() { delete(s.crowd, f.Title) })
+	case "shift":
+		s.lean = lean{f.Front, f.Amount}
+		lasts(func() { s.lean = lean{} })
+	case "reports-late":
+		s.late = f.Amount
+		lasts(func() { s.late = 0 })
+	case "zone-cut":
+		s.apart = f.Zone + 1
+		lasts(func() { s.apart = 0 })
+	case "ageing":
+		each(func(n *simNode) {
+			for age := 0.0; age < f.For; age++ {
+				s.seconds(age, func() { n.slow, n.taken = aged(f, age) })
+			}
+			s.seconds(f.For, func() {
+				n.crash(tape.Crash)
+				n.slow, n.taken = 1, 0
+				s.seconds(agedBack, func() { back(n) })
+			})
+		})
 	case "front-kill":
 		p := s.fronts[f.Front]
 		p.kill()
--- a/lab/sim_test.go
+++ b/lab/sim_test.go
@@ -3,7 +3,7 @@
 import (
 	"bytes"
 	"math"
-	"os"
+	"path/filepath"
 	"runtime"
 	"testing"
 
@@ -88,11 +88,34 @@
 }
 
 func TestDaysAreInOrder(t *testing.T) {
-	files, err := os.ReadDir("../days")
-	if err != nil || len(files) == 0 {
-		t.Fatal(err)
+	for _, pattern := range []string{"../days/*.jsonc", "../days/troubles/*.jsonc"} {
+		files, err := filepath.Glob(pattern)
+		if err != nil || len(files) == 0 {
+			t.Fatal(pattern, err)
+		}
+		for _, f := range files {
+			if _, err := ReadDay(f); err != nil {
+				t.Error(err)
+			}
+		}
 	}
+}
+
+func TestEachTroubleKeepsTheRules(t *testing.T) {
+	if raceEnabled {
+		t.Skip("simulated days have one goroutine")
+	}
+	files, _ := filepath.Glob("../days/troubles/*.jsonc")
 	for _, f := range files {
-		readDayFile(t, f.Name())
+		d, err := ReadDay(f)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for seed := range uint64(5) {
+			d.Seed = seed + 1
+			if rep := (&Sim{Day: d}).Run().Report; !rep.Kept() || rep.Plays == 0 {
+				t.Errorf("%s, seed %d: %+v", filepath.Base(f), d.Seed, rep.Rules)
+			}
+		}
 	}
 }
--- a/lab/stand.go
+++ b/lab/stand.go
@@ -104,7 +104,7 @@
 // crowds plays the crowds of the script alone.
 func (r *Rehearsal) crowds(ctx context.Context, start time.Time) {
 	for _, f := range r.Day.Faults {
-		if f.Do == "crowd" {
+		if f.Do == "crowd" || f.Do == "shift" {
 			r.wg.Add(1)
 			go func() { defer r.wg.Done(); r.inject(ctx, start, f) }()
 		}
--- a/nodes/client.go
+++ b/nodes/client.go
@@ -331,7 +331,7 @@
 }
 
 func (c *Client) probe(ctx context.Context, address string) (front.Ending, front.Load) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load", nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/v1/load?front="+url.QueryEscape(c.name), nil)
 	if err != nil {
 		return front.NotSent, front.Untold
 	}
