--- a/cmd/gullrail/compare.go
+++ b/cmd/gullrail/compare.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 
 	"gullrail/lab"
@@ -12,16 +13,28 @@
 	Seeds   int    `help:"How many seeds, from 1 on." default:"10"`
 	ModuleA string `help:"Module that plays A." enum:"choice,random,least" default:"choice"`
 	ModuleB string `help:"Module that plays B." enum:"choice,random,least" default:"choice"`
+	BuildA  string `help:"Another build of gullrail that plays A." type:"existingfile"`
+	BuildB  string `help:"Another build of gullrail that plays B." type:"existingfile"`
 }
 
-func (v *compareVerb) Run() error {
-	a, err := lab.ReadDay(v.A)
+func (v *compareVerb) Run(ctx context.Context) error {
+	side := func(file, module, build string) (lab.Side, error) {
+		day, err := lab.ReadDay(file)
+		if err != nil {
+			return nil, wrong{err}
+		}
+		if build != "" {
+			return lab.BuildSide(ctx, build, file, module), nil
+		}
+		return lab.DaySide(day, module), nil
+	}
+	a, err := side(v.A, v.ModuleA, v.BuildA)
 	if err != nil {
-		return wrong{err}
+		return err
 	}
-	b, err := lab.ReadDay(v.B)
+	b, err := side(v.B, v.ModuleB, v.BuildB)
 	if err != nil {
-		return wrong{err}
+		return err
 	}
 	if v.Seeds < 1 || v.Seeds > 10000 {
 		return wrong{fmt.Errorf("--seeds: 1 to 10000")}
@@ -30,7 +43,7 @@
 	for i := range v.Seeds {
 		seeds = append(seeds, uint64(i+1))
 	}
-	pairs, err := lab.Compare(lab.Side{Day: a, Module: v.ModuleA}, lab.Side{Day: b, Module: v.ModuleB}, seeds)
+	pairs, err := lab.Compare(a, b, seeds)
 	if err != nil {
 		return err
 	}
--- a/cmd/gullrail/load.go
+++ b/cmd/gullrail/load.go
@@ -10,9 +10,9 @@
 )
 
 type loadVerb struct {
-	File string        `arg:"" help:"A day; of it the service, the nodes and the seed are used, not its load or faults."`
-	Rate []float64     `help:"New plays a second, one run for each value." default:"33"`
-	For  time.Duration `help:"How long each run asks." default:"20s"`
+	File string        `arg:"" help:"A day: its service, nodes, seed, products and titles are used, not its rate or faults."`
+	Rate []float64     `help:"New plays a second over time: one stretch for each value." default:"33"`
+	For  time.Duration `help:"How long each stretch asks." default:"20s"`
 	Hold time.Duration `help:"How long a play is held." default:"10s"`
 }
 
@@ -43,7 +43,7 @@
 	fmt.Printf("%d fronts, %d nodes (loopback, all on this machine)\n", day.Service.Fronts, day.Nodes)
 	fmt.Println("   rate    asked    plays declined   failed   broken  p50 ms  p99 ms p99.9 ms   max ms  allocs/req  kB/req  cpu us/req  core us/req  goroutines  heap MB")
 	for i, rate := range v.Rate {
-		l := &lab.Load{Set: &day.Service, Fronts: run.Fronts(), Rate: rate, For: v.For, Hold: v.Hold, Seed: day.Seed + uint64(i), Name: fmt.Sprint("load", i)}
+		l := &lab.Load{Day: day, Fronts: run.Fronts(), Rate: rate, For: v.For, Hold: v.Hold, Name: fmt.Sprint("load", i)}
 		res, err := l.Run(ctx)
 		if err != nil {
 			return err
--- a/lab/compare.go
+++ b/lab/compare.go
@@ -1,25 +1,58 @@
 package lab
 
 import (
+	"context"
+	"encoding/json"
+	"errors"
 	"fmt"
 	"math"
+	"os/exec"
 	"runtime"
+	"strconv"
 
 	"golang.org/x/sync/errgroup"
 	"gonum.org/v1/gonum/stat"
 	"gonum.org/v1/gonum/stat/distuv"
+
+	"gullrail/lab/audit"
 )
 
-// Side is one of two things compared: a day and the module that plays it.
-type Side struct {
-	Day    *Day
-	Module string
+// Side is one of two things compared: something that plays a seed and says what it came to.
+type Side func(seed uint64) (*audit.Report, error)
+
+// DaySide plays a day in this program, in simulated time, by a module or baseline.
+func DaySide(day *Day, module string) Side {
+	return func(seed uint64) (*audit.Report, error) {
+		d := *day
+		d.Seed = seed
+		return (&Sim{Day: &d, Module: Baseline(module)}).Run().Report, nil
+	}
+}
+
+// BuildSide plays a day's file in simulated time by another build of this program.
+func BuildSide(ctx context.Context, program, file, module string) Side {
+	return func(seed uint64) (*audit.Report, error) {
+		cmd := exec.CommandContext(ctx, program, "rehearse", file, "--sim", "--json", "--module", module, "--seed", strconv.FormatUint(seed, 10))
+		out, err := cmd.Output()
+		var exit *exec.ExitError
+		if err != nil && !(errors.As(err, &exit) && exit.ExitCode() == 1 && len(out) > 0) { // 1 with a report: a rule broke
+			return nil, fmt.Errorf("%s on seed %d: %w", program, seed, err)
+		}
+		var rep audit.Report
+		if err := json.Unmarshal(out, &rep); err != nil {
+			return nil, fmt.Errorf("%s on seed %d: its report: %w", program, seed, err)
+		}
+		if len(rep.Rules) == 0 {
+			return nil, fmt.Errorf("%s on seed %d: its report tells no rules", program, seed)
+		}
+		return &rep, nil
+	}
 }
 
 // Pair is what one seed came to on both sides.
 type Pair struct {
 	Seed   uint64
-	A, B   *Outcome
+	A, B   *audit.Report
 	Broken []string // rules broken, on either side
 }
 
@@ -50,27 +83,27 @@
 	return head + ": can't tell, there is no difference to see"
 }
 
-// Compare plays the same seeds on both sides in simulated time, on all cores.
+// Compare plays the same seeds on both sides, on all cores.
 func Compare(a, b Side, seeds []uint64) ([]Pair, error) {
 	pairs := make([]Pair, len(seeds))
 	var g errgroup.Group
 	g.SetLimit(runtime.GOMAXPROCS(0))
-	play := func(s Side, seed uint64) *Outcome {
-		day := *s.Day
-		day.Seed = seed
-		return (&Sim{Day: &day, Module: Baseline(s.Module)}).Run()
-	}
 	for i, seed := range seeds {
-		g.Go(func() error {
-			p := Pair{Seed: seed, A: play(a, seed), B: play(b, seed)}
-			for side, o := range map[string]*Outcome{"A": p.A, "B": p.B} {
-				for k, r := range o.Report.Rules {
+		g.Go(func() (err error) {
+			p := Pair{Seed: seed}
+			if p.A, err = a(seed); err != nil {
+				return err
+			}
+			if p.B, err = b(seed); err != nil {
+				return err
+			}
+			for side, rep := range []*audit.Report{p.A, p.B} {
+				for k, r := range rep.Rules {
 					if len(r.Breaks) > 0 {
-						p.Broken = append(p.Broken, fmt.Sprintf("%s breaks rule %d, %s, %d times on seed %d", side, k+1, r.Name, len(r.Breaks), seed))
+						p.Broken = append(p.Broken, fmt.Sprintf("%c breaks rule %d, %s, %d times on seed %d", 'A'+side, k+1, r.Name, len(r.Breaks), seed))
 					}
 				}
 			}
-			p.A.Lines, p.B.Lines = nil, nil
 			pairs[i] = p
 			return nil
 		})
@@ -103,8 +136,8 @@
 	var out []Difference
 	for _, figure := range []struct {
 		name string
-		of   func(o *Outcome) float64
-	}{{"worth", func(o *Outcome) float64 { return o.Report.Worth }}, {"service", func(o *Outcome) float64 { return o.Report.Service }}} {
+		of   func(r *audit.Report) float64
+	}{{"worth", func(r *audit.Report) float64 { return r.Worth }}, {"service", func(r *audit.Report) float64 { return r.Service }}} {
 		var a, b []float64
 		for _, p := range pairs {
 			a, b = append(a, figure.of(p.A)), append(b, figure.of(p.B))
--- a/lab/load.go
+++ b/lab/load.go
@@ -5,7 +5,6 @@
 	"context"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -15,7 +14,6 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
-	"gullrail/conf"
 	"gullrail/dash"
 )
 
@@ -23,13 +21,12 @@
 // answered or not, and its latency counts from that time, so that a front that stands still is not
 // spared the requests that came meanwhile.
 type Load struct {
-	Set    *conf.Service
+	Day    *Day // its products' shares, its titles by their Zipf, its seed
 	Fronts []Reached
 	Rate   float64       // new plays a second
 	For    time.Duration // of asking
 	Hold   time.Duration // a play that plays is left after this
-	Seed   uint64
-	Name   string // of this run, so that its viewers are nobody else's
+	Name   string        // of this run, so that its viewers are nobody else's
 }
 
 // LoadResult is what a load run saw.
@@ -52,19 +49,16 @@
 	if res.Before, err = l.scrape(ctx, client); err != nil {
 		return nil, err
 	}
-	rnd := rand.New(rand.NewPCG(l.Seed, 4))
+	day := *l.Day
+	day.Rate, day.Seconds = l.Rate, l.For.Seconds()
 	var wg sync.WaitGroup
 	var mu sync.Mutex
-	start, at := time.Now(), 0.0
-	for n := 0; l.Rate > 0; n++ {
-		at += rnd.ExpFloat64() / l.Rate
-		due := start.Add(time.Duration(at * float64(time.Second)))
-		if due.Sub(start) >= l.For {
-			break
-		}
-		p := l.Set.Products[rnd.IntN(len(l.Set.Products))]
-		q := url.Values{"product": {p.Name}, "viewer": {fmt.Sprintf("%s-%d", l.Name, n)}}
-		target := "http://" + l.Fronts[n%len(l.Fronts)].Address + "/v1/titles/" + url.PathEscape(l.Set.Titles[rnd.IntN(len(l.Set.Titles))].Name) + "/manifest.mpd?" + q.Encode()
+	start, n := time.Now(), 0
+	for a := range day.arrivals(len(l.Fronts)) {
+		due := start.Add(time.Duration(a.at * float64(time.Second)))
+		q := url.Values{"product": {a.v.Product.Name}, "viewer": {l.Name + "-" + a.v.Name}}
+		target := "http://" + l.Fronts[n%len(l.Fronts)].Address + "/v1/titles/" + url.PathEscape(a.v.Title) + "/manifest.mpd?" + q.Encode()
+		n++
 		select {
 		case <-time.After(time.Until(due)):
 		case <-ctx.Done():
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -411,7 +411,7 @@
 // arrivals draws the day's viewers, the same for the same seed wherever the day is played.
 func (d *Day) arrivals(fronts int) iter.Seq[arrival] {
 	return func(yield func(arrival) bool) {
-		rnd := rand.New(rand.NewPCG(d.Seed, 3))
+		rnd, leans := rand.New(rand.NewPCG(d.Seed, 3)), rand.New(rand.NewPCG(d.Seed, 5)) // apart, so that a day's draws stay
 		weights := make([]float64, len(d.Service.Titles))
 		sum := 0.0
 		for i := range weights {
@@ -442,7 +442,7 @@
 					break
 				}
 			}
-			if !yield(arrival{at, rnd.IntN(fronts), rnd.Float64(), rnd.Float64(), v}) {
+			if !yield(arrival{at, rnd.IntN(fronts), rnd.Float64(), leans.Float64(), v}) {
 				return
 			}
 		}
--- a/lab/sim_test.go
+++ b/lab/sim_test.go
@@ -78,7 +78,7 @@
 
 func TestBaselineIsToldFromTheModule(t *testing.T) {
 	d := readDayFile(t, "short.jsonc")
-	pairs, err := Compare(Side{d, "random"}, Side{d, "choice"}, []uint64{1, 2, 3, 4})
+	pairs, err := Compare(DaySide(d, "random"), DaySide(d, "choice"), []uint64{1, 2, 3, 4})
 	if err != nil {
 		t.Fatal(err)
 	}
