Full disks are told and leave nothing; a process that ends at its start is not waited for

Cause: with writes failing, kit run waited 30 s for each process that had ended already, and left its first files.

--- a/cmd/gullrail/kit.go
+++ b/cmd/gullrail/kit.go
@@ -48,7 +48,7 @@
 	self  string
 	stage *lab.Rehearsal // the fronts' side
 	tape  *tape.Tape
-	cmds  []*exec.Cmd
+	ended map[string]chan struct{} // closed once a member's process has ended
 }
 
 // member starts a process of the run. It is in a group of its own, so that a key pressed at the
@@ -71,16 +71,24 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("kit: %s: %w", name, err)
 	}
-	s.cmds = append(s.cmds, cmd)
-	go cmd.Wait()
+	ended := make(chan struct{})
+	s.ended[name] = ended
+	go func() { cmd.Wait(); close(ended) }()
 	return nil
 }
 
 // await waits for a member to say where it is.
 func (s *started) await(ctx context.Context, name string, info any) error {
-	for end := time.Now().Add(startsWithin); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
-		if err := ctx.Err(); err != nil {
-			return err
+	late, gone := time.After(startsWithin), false
+	for !gone {
+		select { // looked for once more after its end, as it may have registered just before
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-late:
+			gone = true
+		case <-s.ended[name]:
+			gone = true
+		case <-time.After(20 * time.Millisecond):
 		}
 		if ok, err := s.run.Find(name, info); ok || err != nil {
 			return err
@@ -119,7 +127,7 @@
 		os.Remove(filepath.Join(run.Folder, old))
 	}
 	os.RemoveAll(filepath.Join(run.Folder, "tapes"))
-	s := &started{run: run, day: day, self: self, tape: tape.NewAt(base)}
+	s := &started{run: run, day: day, self: self, tape: tape.NewAt(base), ended: map[string]chan struct{}{}}
 	if err := os.MkdirAll(filepath.Join(run.Folder, "tapes"), 0o700); err != nil {
 		return s, fmt.Errorf("kit: %w", err)
 	}
@@ -322,6 +330,11 @@
 			return nil
 		}
 		select {
+		case <-s.ended["viewers"]:
+			if err := readJSON(result, short); err == nil {
+				return nil
+			}
+			return fmt.Errorf("kit: the viewers ended without a result, see %s", filepath.Join(s.run.Folder, "viewers.log"))
 		case <-ctx.Done():
 			return fmt.Errorf("kit: %w", ctx.Err())
 		case <-late:
@@ -374,7 +387,7 @@
 	run, err := kit.Open(v.Dir)
 	if errors.Is(err, kit.ErrNoRun) {
 		fmt.Println("nothing to clean")
-		return nil
+		return kit.Tidy(v.Dir)
 	}
 	if err != nil {
 		return wrong{err}
--- a/cmd/gullrail/kit_test.go
+++ b/cmd/gullrail/kit_test.go
@@ -237,3 +237,22 @@
 		t.Errorf("a state folder that is taken: %v\n%s", err, out)
 	}
 }
+
+// A disk that is full shows as writes that fail; a limit on the size of files does the same without privileges.
+func TestFullDiskIsToldAndLeavesNothing(t *testing.T) {
+	bin, day := built(t), write(t, "day.jsonc", smallDay)
+	for _, blocks := range []string{"0", "1"} {
+		folder := filepath.Join(t.TempDir(), "run")
+		out, err := exec.Command("bash", "-c", "ulimit -f "+blocks+"; exec "+bin+" kit run "+day+" --dir "+folder).CombinedOutput()
+		if exit, ok := err.(*exec.ExitError); !ok || exit.ExitCode() != exitFailed || !strings.Contains(string(out), folder) {
+			t.Errorf("%s blocks: %v\n%s", blocks, err, out)
+		}
+		nonce := nonceIn(folder)
+		if out, err := exec.Command(bin, "kit", "clean", "--dir", folder).CombinedOutput(); err != nil {
+			t.Errorf("clean: %v\n%s", err, out)
+		}
+		if l := left(folder, nonce); len(l) > 0 {
+			t.Errorf("%s blocks: left %v", blocks, l)
+		}
+	}
+}
--- a/kit/folder.go
+++ b/kit/folder.go
@@ -113,10 +113,12 @@
 		return fmt.Errorf("kit: %w", err)
 	}
 	tmp := fmt.Sprintf("%s.%d.new", file, os.Getpid())
-	if err := os.WriteFile(tmp, append(b, '\n'), 0o600); err != nil {
-		return fmt.Errorf("kit: %w", err)
+	err = os.WriteFile(tmp, append(b, '\n'), 0o600)
+	if err == nil {
+		err = os.Rename(tmp, file)
 	}
-	if err := os.Rename(tmp, file); err != nil {
+	if err != nil {
+		os.Remove(tmp)
 		return fmt.Errorf("kit: %w", err)
 	}
 	return nil
@@ -318,6 +320,15 @@
 	}
 }
 
+// Tidy takes away what a run that never began left in a folder.
+func Tidy(folder string) error {
+	abs, err := filepath.Abs(folder)
+	if err != nil {
+		return fmt.Errorf("kit: %w", err)
+	}
+	return (&Run{Folder: abs}).Remove()
+}
+
 // Remove takes the folder's files of the run away, but what the kit did not write.
 func (r *Run) Remove() error {
 	for _, name := range []string{"run.json", "begins"} {
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/base64"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"iter"
 	"math"
@@ -60,6 +59,8 @@
 	name, file, log, addr string
 	mu                    sync.Mutex
 	cmd                   *exec.Cmd
+	ended                 chan struct{} // closed once the process is reaped
+	err                   error         // of its end, then
 	begun                 bool
 	here                  func() error // ends a front in this process
 }
@@ -307,15 +308,26 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("front %s: %w", f.name, err)
 	}
+	ended := make(chan struct{})
 	f.mu.Lock()
-	f.cmd = cmd
+	f.cmd, f.ended = cmd, ended
 	f.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		f.mu.Lock()
+		f.err = err
+		f.mu.Unlock()
+		close(ended)
+	}()
 	return nil
 }
 
 func (f *frontProcess) awaitReady(ctx context.Context, patience time.Duration) error {
 	ctx, cancel := context.WithTimeout(ctx, patience)
 	defer cancel()
+	f.mu.Lock()
+	ended := f.ended // nil, and never closed, for a front in this process
+	f.mu.Unlock()
 	for {
 		req, _ := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+f.addr+"/readyz", nil)
 		if resp, err := http.DefaultClient.Do(req); err == nil {
@@ -326,6 +338,8 @@
 		}
 		select {
 		case <-time.After(30 * time.Millisecond):
+		case <-ended:
+			return fmt.Errorf("front %s ended at its start, see %s", f.name, f.log)
 		case <-ctx.Done():
 			return fmt.Errorf("front %s does not get ready, see %s", f.name, f.log)
 		}
@@ -362,19 +376,19 @@
 // kill ends the process as a crash does.
 func (f *frontProcess) kill() {
 	f.mu.Lock()
-	cmd := f.cmd
+	cmd, ended := f.cmd, f.ended
 	f.cmd = nil
 	f.mu.Unlock()
 	if cmd != nil {
 		cmd.Process.Kill()
-		cmd.Wait()
+		<-ended
 	}
 }
 
 // stop ends the process in order, and at once if it takes too long.
 func (f *frontProcess) stop() error {
 	f.mu.Lock()
-	cmd, here := f.cmd, f.here
+	cmd, here, ended := f.cmd, f.here, f.ended
 	f.cmd, f.here = nil, nil
 	f.mu.Unlock()
 	if here != nil {
@@ -387,12 +401,11 @@
 	cmd.Process.Signal(syscall.SIGTERM)
 	late := time.AfterFunc(15*time.Second, func() { cmd.Process.Kill() })
 	defer late.Stop()
-	if err := cmd.Wait(); err != nil {
-		var exit *exec.ExitError
-		if errors.As(err, &exit) {
-			return fmt.Errorf("front %s ended with %s, see %s", f.name, exit, f.log)
-		}
-		return err
+	<-ended
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.err != nil {
+		return fmt.Errorf("front %s: %w, see %s", f.name, f.err, f.log)
 	}
 	return nil
 }
