--- a/lab/day.go
+++ b/lab/day.go
@@ -65,6 +65,7 @@
 	"uplink":       {"rack", "the uplink gives so many times less"},
 	"list-down":    {"", ""},
 	"list-late":    {"", "seconds more"},
+	"list-wrong":   {"nodes", ""}, // the list says that they are gone while they run
 	"crowd":        {"title", "share of new viewers who want this title"},
 	"front-kill":   {"front", ""}, // it is started again after For
 	"front-stall":  {"front", ""},
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -565,6 +565,15 @@
 				r.back(n)
 			}
 		})
+	case "list-wrong":
+		each(func(n *Node) {
+			line := n.line
+			line.Phase = "gone"
+			r.list.Set(line)
+			if f.For > 0 && wait(ctx, f.For) {
+				r.list.Set(n.line)
+			}
+		})
 	case "silence":
 		each(func(n *Node) {
 			end := n.hush()
--- a/lab/sim.go
+++ b/lab/sim.go
@@ -1047,6 +1047,13 @@
 			n.crash(tape.Crash)
 			lasts(func() { back(n) })
 		})
+	case "list-wrong":
+		each(func(n *simNode) {
+			line := n.line
+			line.Phase = "gone"
+			s.announce(line)
+			lasts(func() { s.announce(n.line) })
+		})
 	case "silence":
 		each(func(n *simNode) {
 			n.hushed++
