What a front records of its plays, and takes over by record when it starts again

The core adopts recorded plays at their nodes with the first list, so that their seats count at once, and the nodes' words settle them; it need not wait for every node.

--- a/lab/sim.go
+++ b/lab/sim.go
@@ -651,6 +651,9 @@
 	}
 }
 
+// Finished is for records on disk, which a simulated front does not keep.
+func (f *simFront) Finished(string, int) {}
+
 // nodeDied cuts what the front has to do with a node whose process ended.
 func (f *simFront) nodeDied(n *simNode) {
 	var refs []session.Ref
--- a/nodes/client.go
+++ b/nodes/client.go
@@ -388,6 +388,9 @@
 	})
 }
 
+// Finished is for who keeps records of plays; the client keeps none.
+func (c *Client) Finished(string, int) {}
+
 // Hangup closes the stream from a node.
 func (c *Client) Hangup(node int) {
 	c.mu.Lock()
--- a/session/core.go
+++ b/session/core.go
@@ -31,6 +31,7 @@
 // Allocation is what a node is asked to set up.
 type Allocation struct {
 	Ref
+	Name    string // of the node
 	Address string
 	Product int
 	Title   string
@@ -53,6 +54,14 @@
 	Probe(node int, address string)
 	Dial(node int, address string, at int64)
 	Hangup(node int)
+	// Finished says that a play of which allocations were sent is over; nothing comes of it.
+	Finished(play string, product int)
+}
+
+// Expected is a play of an earlier life of this front that may still run, by its own record.
+type Expected struct {
+	Running
+	Node string // name of the node of its last allocation
 }
 
 // Listed is one line of the list of playout nodes, by name.
@@ -211,6 +220,8 @@
 	freed    []int // node numbers that may name another
 	products Products
 	parting  bool
+	expected []Expected // until the first list
+	recorded bool       // what was held before is known by record
 	releases []release
 	ended    map[string]finished
 	endings  []finished // in their order, from oldest on
@@ -240,8 +251,31 @@
 	return s
 }
 
+// Expect says what an earlier life of this front recorded as open; it comes before anything else. With the
+// first list those plays are taken over at their nodes, so that their seats count from then on; the nodes'
+// words then settle which of them still run. A front that knows this need not wait for all nodes.
+func (c *Core) Expect(open []Expected) { c.expected, c.recorded = open, true }
+
+// takeOver adopts what is expected. A play at a node that the list does not have has ended with it.
+func (c *Core) takeOver(now int64) {
+	for _, e := range c.expected {
+		at, ok := c.nodeAt[e.Node]
+		switch {
+		case !ok || e.Product < 0:
+			c.out.Finished(e.Play, max(0, e.Product))
+		case c.plays[e.Play] == nil:
+			c.adopt(now, at, 0, 0, e.Running)
+		}
+	}
+	c.expected = nil
+}
+
 // Ready tells whether the front may take plays.
 func (c *Core) Ready(now int64) bool {
+	if c.recorded && c.expected == nil && len(c.listed) > 0 {
+		c.counts.Ready = true
+		return true
+	}
 	c.counts.Ready = c.watch.Ready(now, c.listed)
 	return c.counts.Ready
 }
@@ -477,6 +511,11 @@
 		still[r.Play] = true
 		switch p := c.plays[r.Play]; {
 		case p != nil && p.node == at && p.try == r.Try && p.stage != waiting: // as known here
+			if p.adopted && p.life == 0 { // expected by record, and now confirmed
+				p.life, p.mark, p.seq = life, mark, r.Seq
+				p.rung = r.Rung
+				c.carry(now, c.mod.Told(now, p.h, r.Rung))
+			}
 		case p == nil && r.Epoch < c.epoch && r.Product >= 0 && c.ended[r.Play].how == 0:
 			c.adopt(now, at, life, mark, r)
 		default:
@@ -585,6 +624,11 @@
 		}
 	}
 	c.carry(now, c.mod.Nodes(now, c.list, whole))
+	if len(c.expected) > 0 && len(c.listed) > 0 {
+		c.takeOver(now)
+	} else if len(c.listed) > 0 {
+		c.expected = nil
+	}
 }
 
 func (c *Core) newNode(name string) (at int) {
@@ -722,7 +766,7 @@
 			p.try++
 			n := &c.nodes[o.Node]
 			n.plays++
-			c.out.SetUp(Allocation{Ref: Ref{p.id, p.try, o.Node}, Address: n.address, Product: p.ask.Product,
+			c.out.SetUp(Allocation{Ref: Ref{p.id, p.try, o.Node}, Name: n.name, Address: n.address, Product: p.ask.Product,
 				Title: p.ask.Title, Viewer: p.ask.Viewer, Rung: o.Rung, Top: p.ask.Top, Seq: p.seq, Until: o.Until,
 				Length: p.ask.Length})
 		case front.Decline:
@@ -804,6 +848,9 @@
 	if p.stage == playing { // nobody holds a token of another
 		c.remember(now, p.id, how)
 	}
+	if p.try >= 0 {
+		c.out.Finished(p.id, p.ask.Product)
+	}
 }
 
 // remember keeps how a play ended for those who come back with its token, as long as one is good.
--- a/session/core_test.go
+++ b/session/core_test.go
@@ -14,12 +14,13 @@
 
 // recorder is a Carrier that only writes down what was ordered.
 type recorder struct {
-	setUps []Allocation
-	ends   []Ref
-	rungs  []int
-	dials  map[int]int64
-	hung   []int
-	recall []Ref
+	setUps   []Allocation
+	ends     []Ref
+	rungs    []int
+	dials    map[int]int64
+	hung     []int
+	recall   []Ref
+	finished []string
 }
 
 func (r *recorder) SetUp(a Allocation)                     { r.setUps = append(r.setUps, a) }
@@ -28,6 +29,7 @@
 func (r *recorder) End(x Ref, _, _ string)                 { r.ends = append(r.ends, x) }
 func (r *recorder) Probe(int, string)                      {}
 func (r *recorder) Dial(node int, _ string, at int64)      { r.dials[node] = at }
+func (r *recorder) Finished(play string, _ int)            { r.finished = append(r.finished, play) }
 func (r *recorder) Hangup(node int)                        { r.hung = append(r.hung, node) }
 func (r *recorder) last(t *testing.T) Allocation {
 	t.Helper()
@@ -378,6 +380,7 @@
 			}
 		}
 		out.ends, out.rungs, out.recall, out.hung = out.ends[:0], out.rungs[:0], out.recall[:0], out.hung[:0]
+		out.finished = out.finished[:0]
 	}
 	runtime.GC()
 	var m runtime.MemStats
@@ -457,3 +460,36 @@
 		t.Fatalf("replayed after the move: %+v", y)
 	}
 }
+
+func TestRecordedPlaysHoldTheirSeatsUntilTheirNodesSpeak(t *testing.T) {
+	out := &recorder{dials: map[int]int64{}}
+	c := NewCore(start, "f", 2, choice.New(terms(), 1), out, products{}, 1)
+	was := func(play, node string) Expected {
+		return Expected{Running{Play: play, Epoch: 1, Product: 1, Title: "clip", Copies: 4, Viewer: play, Rung: 1, Top: 2}, node}
+	}
+	c.Expect([]Expected{was("a", "n0"), was("b", "n1"), was("gone", "n9")})
+	if c.Ready(start) {
+		t.Fatal("ready without a list")
+	}
+	var lines []Listed
+	for i := range 3 {
+		lines = append(lines, Listed{Name: fmt.Sprint("n", i), Address: fmt.Sprint("a", i), Cell: i, Weight: 1})
+	}
+	c.List(start, lines, true)
+	if !c.Ready(start) || c.Counts().InHand != 2 || len(out.finished) != 1 || out.finished[0] != "gone" {
+		t.Fatalf("ready %v, %+v, finished %v", c.Ready(start), c.Counts(), out.finished)
+	}
+	full := want(1, "w")
+	c.Ask(start, full)
+	if got(t, full).Verdict != Declined {
+		t.Fatal("a third play on two seats")
+	}
+	c.Hello(start, 0, 7, 3, []Running{{Play: "a", Epoch: 1, Product: 1, Title: "clip", Copies: 4, Viewer: "a", Rung: 2, Seq: 5, Top: 2}})
+	c.Hello(start, 1, 7, 3, nil) // the node does not run it
+	if p := c.plays["a"]; p == nil || p.rung != 2 || p.seq != 5 || c.plays["b"] != nil {
+		t.Fatal("confirmed by its node as it is there, or lost")
+	}
+	free := want(1, "x")
+	c.Ask(start, free)
+	silent(t, free)
+}
