Fronts with a state folder record paid and seated allocations before sending them

A front without its store declines what must be recorded and says so in log and metrics. gullrail store check and dump read a store offline.

--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -38,6 +38,7 @@
 	Load     loadVerb     `cmd:"" help:"Measure fronts under an open loop of requests, against the stand-in nodes of a day."`
 	Kit      kitVerbs     `cmd:"" help:"Rehearse with every part a process of its own."`
 	Compare  compareVerb  `cmd:"" help:"Play two days, or two modules, on the same seeds in simulated time, and tell the difference with its noise."`
+	Store    storeVerbs   `cmd:"" help:"Look into the store of a front that does not run."`
 	Audit    auditVerb    `cmd:"" help:"Check a tape of a rehearsal against the six rules again."`
 }
 
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -251,7 +251,11 @@
 		}
 		f := &frontProcess{name: fmt.Sprintf("f%d", i), addr: addr, file: filepath.Join(r.Folder, fmt.Sprintf("front-%d.jsonc", i)),
 			log: filepath.Join(r.Folder, fmt.Sprintf("front-%d.log", i))}
-		text, err := d.FrontSettings(i, f.name, addr, list, key)
+		state := filepath.Join(r.Folder, f.name+"-state")
+		if err := os.RemoveAll(state); err != nil { // of a run before
+			return fmt.Errorf("rehearsal: %w", err)
+		}
+		text, err := d.FrontSettings(i, f.name, addr, list, state, key)
 		if err != nil {
 			return err
 		}
@@ -273,9 +277,9 @@
 }
 
 // FrontSettings is the settings file of one front of the day.
-func (d *Day) FrontSettings(i int, name, listen, list string, key conf.Key) ([]byte, error) {
+func (d *Day) FrontSettings(i int, name, listen, list, state string, key conf.Key) ([]byte, error) {
 	own, err := json.Marshal(map[string]any{"name": name, "number": i, "zone": d.Service.Zones[i%len(d.Service.Zones)],
-		"listen": listen, "seed": d.Seed})
+		"listen": listen, "seed": d.Seed, "state": state})
 	if err != nil {
 		return nil, err
 	}
@@ -360,15 +364,20 @@
 	if err != nil {
 		return err
 	}
-	front, err := serve.Listen(set, time.Now().UnixNano(), zerolog.Nop())
+	claim, err := serve.NewClaim(set.State)
+	if err != nil {
+		return err
+	}
+	front, err := serve.Listen(set, claim.Epoch, zerolog.Nop())
 	if err != nil {
+		claim.Release()
 		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- front.Run(ctx) }()
 	f.mu.Lock()
-	f.here = func() error { cancel(); return <-done }
+	f.here = func() error { cancel(); defer claim.Release(); return <-done }
 	f.mu.Unlock()
 	return nil
 }
--- a/lab/rig_test.go
+++ b/lab/rig_test.go
@@ -224,6 +224,12 @@
 	return strings.TrimSuffix(strings.TrimPrefix(m.Location, "/v1/plays/"), "/manifest.mpd")
 }
 
+// listens tries to begin a life of the front.
+func (r *rig) listens() error {
+	_, err := serve.Listen(r.settings, time.Now().UnixNano(), zerolog.Nop())
+	return err
+}
+
 // scripted is a node that does what a test says with each set-up.
 type scripted struct {
 	line    nodes.Line
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -27,6 +27,7 @@
 		into[name] = prometheus.NewDesc("gullrail_"+name, help, nil, prometheus.Labels{"front": f.set.Name})
 	}
 	describe(c.gauge, "ready", "1 once the front may take plays.")
+	describe(c.gauge, "store_broken", "1 when the store is broken: paid and seated plays are declined.")
 	describe(c.gauge, "plays_in_hand", "Plays waiting, being set up or playing.")
 	describe(c.gauge, "viewers_known", "Viewers with a number.")
 	describe(c.gauge, "titles_known", "Titles with a number.")
@@ -66,7 +67,11 @@
 	if n.Ready {
 		ready = 1
 	}
-	for name, v := range map[string]float64{"ready": ready, "plays_in_hand": float64(n.InHand), "viewers_known": float64(n.Viewers),
+	broken := 0.0
+	if c.front.journal != nil && c.front.journal.Broken() {
+		broken = 1
+	}
+	for name, v := range map[string]float64{"ready": ready, "store_broken": broken, "plays_in_hand": float64(n.InHand), "viewers_known": float64(n.Viewers),
 		"titles_known": float64(n.Titles), "nodes_known": float64(n.Nodes), "requests_waiting": float64(waiting)} {
 		out <- prometheus.MustNewConstMetric(c.gauge[name], prometheus.GaugeValue, v)
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -28,13 +28,14 @@
 
 // Front is a front end that listens but does not run yet.
 type Front struct {
-	set    conf.Front
-	log    zerolog.Logger
-	listen net.Listener
-	runner *session.Runner
-	core   *session.Core
-	client *nodes.Client
-	server *http.Server
+	set     conf.Front
+	log     zerolog.Logger
+	listen  net.Listener
+	runner  *session.Runner
+	core    *session.Core
+	client  *nodes.Client
+	journal *journal // nil where no records are kept
+	server  *http.Server
 }
 
 // Listen makes a front end and opens its socket, so that a port that is taken shows at once. Epoch
@@ -73,7 +74,19 @@
 	service := &f.set.Service
 	f.client = nodes.NewClient(set.Name, epoch, service.Reports == "answers", service, f.runner, secure, log)
 	module := choice.New(service.Terms(set.Number, set.Zone), seed)
-	f.core = session.NewCore(clock.Now(), set.Name, epoch, module, f.client, service, seed)
+	carrier := session.Carrier(f.client)
+	var open []session.Expected
+	if set.State != "" {
+		if f.journal, open, err = openJournal(set.State, service, epoch, f.client, f.runner, log); err != nil {
+			listen.Close()
+			return nil, err
+		}
+		carrier = f.journal
+	}
+	f.core = session.NewCore(clock.Now(), set.Name, epoch, module, carrier, service, seed)
+	if f.journal != nil {
+		f.core.Expect(open)
+	}
 	mux := http.NewServeMux()
 	life := time.Duration(set.TokenMs * float64(time.Millisecond))
 	mux.Handle("/v1/", dash.NewFront(set.Name, media, service, minter, life, f.runner, log))
@@ -188,7 +201,11 @@
 	})
 	f.log.Info().Str("front", f.set.Name).Str("listen", f.Addr()).Msg("front runs")
 	err := g.Wait()
-	f.client.Close()
+	if f.journal != nil {
+		err = errors.Join(err, f.journal.Close())
+	} else {
+		f.client.Close()
+	}
 	f.log.Info().Str("front", f.set.Name).Msg("front ended")
 	return err
 }
--- a/store/log.go
+++ b/store/log.go
@@ -309,36 +309,40 @@
 }
 
 // Append writes a record and returns once it is durable, together with all that were appended meanwhile.
-func (l *Log) Append(record []byte) error {
-	if len(record) > recordMax {
-		return fmt.Errorf("%w: %d bytes", ErrTooBig, len(record))
-	}
-	return l.send(&entry{record: record, done: make(chan error, 1)})
+func (l *Log) Append(record []byte) error { return <-l.Begin(record) }
+
+// Begin puts a record into the log's order and returns at once but where very many wait; the channel brings, once,
+// whether it is durable. Who must keep an order of its own in step with the log's calls Begin under its lock.
+func (l *Log) Begin(record []byte) <-chan error {
+	return l.send(&entry{record: record}, record)
 }
 
 // Compact replaces all records by others, in their order, as one step: after a crash the store holds either
-// all of the old or all of the new. Records appended after Compact was called come after them.
-func (l *Log) Compact(records [][]byte) error {
-	for _, r := range records {
-		if len(r) > recordMax {
-			return fmt.Errorf("%w: %d bytes", ErrTooBig, len(r))
-		}
-	}
+// all of the old or all of the new. Records begun after Compact come after them, those begun before are
+// replaced.
+func (l *Log) Compact(records [][]byte) <-chan error {
 	if records == nil {
 		records = [][]byte{}
 	}
-	return l.send(&entry{compact: records, done: make(chan error, 1)})
+	return l.send(&entry{compact: records}, records...)
 }
 
-func (l *Log) send(a *entry) error {
+func (l *Log) send(a *entry, records ...[]byte) <-chan error {
+	a.done = make(chan error, 1)
+	for _, r := range records {
+		if len(r) > recordMax {
+			a.done <- fmt.Errorf("%w: %d bytes", ErrTooBig, len(r))
+			return a.done
+		}
+	}
 	l.mu.RLock() // held over the send: Close closes the queue only once nobody sends
+	defer l.mu.RUnlock()
 	if l.closed {
-		l.mu.RUnlock()
-		return ErrClosed
+		a.done <- ErrClosed
+		return a.done
 	}
 	l.queue <- a
-	l.mu.RUnlock()
-	return <-a.done
+	return a.done
 }
 
 // Syncs counts the groups that were made durable.
--- a/store/log_test.go
+++ b/store/log_test.go
@@ -46,7 +46,7 @@
 				for _, h := range held {
 					all = append(all, []byte(h))
 				}
-				if err := l.Compact(all); err != nil {
+				if err := <-l.Compact(all); err != nil {
 					t.Fatal(err)
 				}
 				ack()
