--- a/lab/day.go
+++ b/lab/day.go
@@ -26,6 +26,7 @@
 	Tries      int
 	PauseMs    float64
 	Honours    float64 // share of viewers who heed Retry-After
+	Records    bool    // fronts keep records of plays
 	Products   []DayProduct
 	Faults     []Fault
 }
@@ -117,6 +118,7 @@
 	d.Uneven, d.Guard = e.At("uneven").NumberOr(0.2, 0, 0.9), e.At("guard").NumberOr(1, 0, 100)
 	d.SetUpMs = pair(e.At("set_up_ms"), [2]float64{40, 120})
 	d.ListLateMs, d.IdleMs = e.At("list_late_ms").NumberOr(2000, 0, 3.6e6), e.At("idle_ms").NumberOr(6000, 100, 3.6e6)
+	d.Records = e.At("records").BoolOr(true)
 	w := e.At("viewers").Object(false)
 	d.Tries, d.PauseMs = w.At("tries").WholeOr(3, 0, 1000), w.At("pause_ms").NumberOr(1500, 0, 3.6e6)
 	d.Honours = w.At("honour").NumberOr(0.6, 0, 1)
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -278,8 +278,11 @@
 
 // FrontSettings is the settings file of one front of the day.
 func (d *Day) FrontSettings(i int, name, listen, list, state string, key conf.Key) ([]byte, error) {
-	own, err := json.Marshal(map[string]any{"name": name, "number": i, "zone": d.Service.Zones[i%len(d.Service.Zones)],
-		"listen": listen, "seed": d.Seed, "state": state})
+	settings := map[string]any{"name": name, "number": i, "zone": d.Service.Zones[i%len(d.Service.Zones)], "listen": listen, "seed": d.Seed}
+	if d.Records {
+		settings["state"] = state
+	}
+	own, err := json.Marshal(settings)
 	if err != nil {
 		return nil, err
 	}
