--- a/lab/node.go
+++ b/lab/node.go
@@ -674,6 +674,7 @@
 func (n *Node) tellShares(now time.Time, lag time.Duration, loads bool) {
 	link, uplink := n.loads()
 	n.shares = append(n.shares, shareAt{now, n.share(), link, uplink})
+	n.fleet.tape.Add(tape.Line{What: tape.Load, Node: n.line.Name, Share: link, Uplink: uplink})
 	if len(n.shares) > 64 {
 		n.shares = n.shares[1:]
 	}
--- a/lab/page/page.go
+++ b/lab/page/page.go
@@ -70,6 +70,8 @@
 		rungs[i] = counts{}
 	}
 	took := map[int][]float64{}
+	links, uplinks := map[int][]float64{}, map[int][]float64{}
+	reasons, why := map[string]counts{}, []string(nil)
 	for _, l := range lines {
 		b := binOf(l.T)
 		switch l.What {
@@ -95,9 +97,16 @@
 				}
 			case l.Status == 503:
 				declined[b]++
+				reason := strings.TrimPrefix(l.Note, "declined: ")
+				if reasons[reason] == nil {
+					reasons[reason], why = counts{}, append(why, reason)
+				}
+				reasons[reason][b]++
 			case l.Status == 502 || l.Status == 504:
 				failed[b]++
 			}
+		case tape.Load:
+			links[b], uplinks[b] = append(links[b], l.Share), append(uplinks[b], l.Uplink)
 		case tape.Served:
 			segments[b]++
 			if l.Share > 0 && l.Share < 0.98 {
@@ -108,10 +117,13 @@
 			}
 		}
 	}
-	median, late := series{"median", map[int]float64{}}, series{"99th percentile", map[int]float64{}}
-	for b, t := range took {
-		sort.Float64s(t)
-		median.at[b], late.at[b] = t[len(t)/2], t[min(len(t)-1, len(t)*99/100)]
+	spread := func(of map[int][]float64, part int, middle, high string) []series {
+		median, late := series{middle, map[int]float64{}}, series{high, map[int]float64{}}
+		for b, t := range of {
+			sort.Float64s(t)
+			median.at[b], late.at[b] = t[len(t)/2], t[min(len(t)-1, len(t)*part/100)]
+		}
+		return []series{median, late}
 	}
 	byRung := &chart{Title: "Segments by rung", unit: "share", most: 1}
 	for i, r := range rungs {
@@ -124,13 +136,25 @@
 		}
 		return s
 	}
+	sort.Strings(why)
+	byReason := &chart{Title: "Declined, by reason", unit: "a second"}
+	for _, r := range why {
+		name := r
+		if name == "" {
+			name = "no reason told"
+		}
+		byReason.curves = append(byReason.curves, rate(name, reasons[r]))
+	}
+	loads := append(spread(links, 90, "links, median", "links, 90th percentile"), spread(uplinks, 90, "uplinks, median", "uplinks, 90th percentile")...)
 	return []*chart{
 		{Title: "Service: importance answered within the first-frame target, by the time of asking", unit: "share", most: 1,
 			curves: []series{ratio("service", served, asked)}},
 		{Title: "Answers", unit: "a second", curves: []series{rate("plays", plays), rate("declined", declined), rate("failed", failed)}},
+		byReason,
 		byRung,
+		{Title: "What is asked of links and uplinks over what they give", unit: "ratio", curves: loads},
 		{Title: "Segments delivered under 98% of their rate", unit: "share", most: 1, curves: []series{ratio("short", short, segments)}},
-		{Title: "First frame, from the viewer's first try on", unit: "ms", curves: []series{median, late}},
+		{Title: "First frame, from the viewer's first try on", unit: "ms", curves: spread(took, 99, "median", "99th percentile")},
 	}
 }
 
--- /dev/null
+++ b/lab/page/page_test.go
@@ -0,0 +1,81 @@
+package page
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"gullrail/lab"
+	"gullrail/lab/tape"
+)
+
+func TestPageOfADay(t *testing.T) {
+	day, err := lab.ReadDay("../../days/short.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := (&lab.Sim{Day: day}).Run()
+	out.Report.Rules[2].Breaks = []string{"line 7: <planted>"}
+	var page bytes.Buffer
+	if err := Write(&page, "short", day, out.Lines, out.Report); err != nil {
+		t.Fatal(err)
+	}
+	text := page.String()
+	if n := strings.Count(text, "<svg"); n != 7 {
+		t.Errorf("%d charts", n)
+	}
+	for _, want := range []string{"broken 1 times: line 7: &lt;planted&gt;", "front-kill front 1 for 1 s", "one answer in time"} {
+		if !strings.Contains(text, want) {
+			t.Errorf("the page lacks %q", want)
+		}
+	}
+	if strings.Contains(text, "http://") && strings.Contains(text, "src=\"http") {
+		t.Error("the page needs something from elsewhere")
+	}
+}
+
+func TestCurvesByHand(t *testing.T) {
+	day, err := lab.ReadDay("../../days/short.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	at := func(sec float64) int64 { return int64(sec * 1e6) }
+	lines := []tape.Line{
+		{T: at(0), What: tape.Ask, ID: 1, Viewer: "a", Product: "lesson", First: true}, // importance 2, target 1.5 s
+		{T: at(1), What: tape.Answer, ID: 1, Status: 200, Play: "p"},
+		{T: at(1), What: tape.Ask, ID: 2, Viewer: "b", Product: "help", First: true}, // importance 1, target 1 s
+		{T: at(2.5), What: tape.Answer, ID: 2, Status: 200, Play: "q"},               // too late
+		{T: at(3), What: tape.Served, Play: "p", Rung: 1, Share: 0.5},
+		{T: at(3), What: tape.Served, Play: "q", Rung: 1, Share: 1},
+	}
+	for _, c := range charts(day, lines) {
+		switch c.Title {
+		case "Segments delivered under 98% of their rate":
+			if got := c.curves[0].at[1]; got != 0.5 {
+				t.Errorf("short: %v", got)
+			}
+		case "Answers":
+			if got := c.curves[0].at[0]; got != 0.5 { // one play in two seconds
+				t.Errorf("plays: %v", got)
+			}
+		}
+		if strings.HasPrefix(c.Title, "Service") {
+			if got := c.curves[0].at[0]; got != 2.0/3 {
+				t.Errorf("service: %v", got)
+			}
+		}
+	}
+}
+
+func FuzzTapeNeverBreaksAPage(f *testing.F) {
+	day, err := lab.ReadDay("../../days/short.jsonc")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(`{"t":1,"what":"ask","id":1,"first":true,"product":"help"}` + "\n" + `{"t":2,"what":"served","rung":99,"share":0.1}`)
+	f.Fuzz(func(t *testing.T, s string) {
+		if lines, err := tape.Read(strings.NewReader(s)); err == nil {
+			charts(day, lines)
+		}
+	})
+}
--- a/lab/sim.go
+++ b/lab/sim.go
@@ -285,6 +285,7 @@
 	}
 	link, uplink := n.loads()
 	n.shares = append(n.shares, shareAt{share: n.share(), link: link, uplink: uplink})
+	s.add(tape.Line{What: tape.Load, Node: n.line.Name, Share: link, Uplink: uplink})
 	if len(n.shares) > 64 {
 		n.shares = n.shares[1:]
 	}
--- a/lab/tape/tape.go
+++ b/lab/tape/tape.go
@@ -28,6 +28,7 @@
 	End      = "end"      // a node received the word to end a play: Node, Front, Play, Try
 	Ended    = "ended"    // a node ended a play by itself: Node, Front, Play
 	Served   = "served"   // a node sent a segment: Node, Play, Rung
+	Load     = "load"     // once a second: Node, Share is what is asked of its link over what it gives, Uplink the same
 	Life     = "life"     // a node's process began: Node; Note is cold or warm
 	Crash    = "crash"    // and ended: Node
 	Fell     = "fell"     // a cold node was pushed over: Node
@@ -57,6 +58,7 @@
 	First   bool    `json:"first,omitempty"`    // of an Ask: the viewer's first try
 	WatchMs int64   `json:"watch_ms,omitempty"` // of a first Ask: how long the viewer means to watch; Rung is its best
 	Share   float64 `json:"share,omitempty"`    // of Served: the share of its rate that was delivered
+	Uplink  float64 `json:"uplink,omitempty"`
 	Status  int     `json:"status,omitempty"`
 	Note    string  `json:"note,omitempty"`
 }
