--- a/choice/choice.go
+++ b/choice/choice.go
@@ -178,7 +178,7 @@
 		return f.end(now)
 	}
 	p.stage = held
-	p.mayHave = p.mayHave || how != front.TurnedAway && how != front.NoConnect && how != front.NotSent
+	p.mayHave = p.mayHave || how.MayHaveRun()
 	f.place(now, h, p)
 	return f.end(now)
 }
--- a/conf/service.go
+++ b/conf/service.go
@@ -199,6 +199,14 @@
 // Product is the name of a product's number; ProductNumber and Title look a name up.
 func (s *Service) Product(number int) string { return s.Products[number].Name }
 
+// LongestMs is the longest time limit of any product, in milliseconds.
+func (s *Service) LongestMs() (longest float64) {
+	for _, p := range s.Products {
+		longest = max(longest, p.LimitMs)
+	}
+	return longest
+}
+
 // Paid tells that a product is paid for at set-up.
 func (s *Service) Paid(number int) bool { return s.Products[number].Paid }
 
@@ -292,11 +300,7 @@
 	f.Log = e.At("log").Choice("info", "debug", "warn", "error")
 	f.Waiting, f.Sockets = e.At("waiting").WholeOr(256, 1, 1<<20), e.At("sockets").WholeOr(8192, 1, 1<<20)
 	f.TokenMs = e.At("token_ms").NumberOr(600_000, 1000, 24*mostMs)
-	longest := 0.0
-	for _, p := range f.Service.Products {
-		longest = max(longest, p.LimitMs)
-	}
-	f.State, f.EndMs = e.At("state").TextOr(""), e.At("end_within_ms").NumberOr(max(1000, longest), 100, mostMs)
+	f.State, f.EndMs = e.At("state").TextOr(""), e.At("end_within_ms").NumberOr(max(1000, f.Service.LongestMs()), 100, mostMs)
 	f.Retire = e.At("retire").BoolOr(false)
 	if t := e.At("tls"); t.Given() {
 		t.Object(true)
--- a/front/front.go
+++ b/front/front.go
@@ -62,6 +62,9 @@
 	NotSent           // never ran
 )
 
+// MayHaveRun tells that an allocation that ended so may have run: nothing proves that it did not.
+func (e Ending) MayHaveRun() bool { return e != TurnedAway && e != NoConnect && e != NotSent }
+
 // Load is a node's report. A figure below 0 was not told.
 type Load struct{ Streams, Link, Uplink float64 }
 
--- a/lab/audit/audit.go
+++ b/lab/audit/audit.go
@@ -434,7 +434,7 @@
 			held[l.Play] = h
 			count[h.seat]++
 			if n := count[h.seat]; p.Seats > 0 && n > p.Seats {
-				if over := n - a.freedSoon(i, h.seat.front, h.seat.product, h.seat.title, held2(held)); over > p.Seats {
+				if over := n - a.freedSoon(i, h.seat.front, h.seat.product, h.seat.title, func(play string) bool { _, ok := held[play]; return ok }); over > p.Seats {
 					a.broken(5, "line %d: %s holds %d plays of %s, %s; %d seats", i+1, l.Front, over, l.Title, l.Product, p.Seats)
 				}
 			}
@@ -453,19 +453,11 @@
 	}
 }
 
-func held2[T any](m map[string]T) map[string]bool {
-	out := make(map[string]bool, len(m))
-	for k := range m {
-		out[k] = true
-	}
-	return out
-}
-
 // freedSoon counts plays of a seat whose end shows on another socket within skew after a line.
-func (a *audit) freedSoon(from int, front, product, title string, held map[string]bool) (n int) {
+func (a *audit) freedSoon(from int, front, product, title string, held func(play string) bool) (n int) {
 	seat := map[string]bool{}
 	for _, l := range a.lines[:from+1] {
-		if l.What == tape.SetUp && l.Front == front && l.Product == product && l.Title == title && held[l.Play] {
+		if l.What == tape.SetUp && l.Front == front && l.Product == product && l.Title == title && held(l.Play) {
 			seat[l.Play] = true
 		}
 	}
--- a/lab/baseline.go
+++ b/lab/baseline.go
@@ -226,7 +226,7 @@
 		p.live = false
 		return b.end(now)
 	}
-	p.mayHave = p.mayHave || how != front.TurnedAway && how != front.NoConnect && how != front.NotSent
+	p.mayHave = p.mayHave || how.MayHaveRun()
 	b.place(now, h, p)
 	return b.end(now)
 }
--- a/lab/player.go
+++ b/lab/player.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -270,7 +269,3 @@
 		resp.Body.Close()
 	}
 }
-
-func (v *Viewer) String() string {
-	return fmt.Sprintf("%s wants %s of %s", v.Name, v.Title, v.Product.Name)
-}
--- a/lab/rehearse.go
+++ b/lab/rehearse.go
@@ -122,13 +122,7 @@
 
 // tail is how long after the last arrival the day goes on, in seconds: what was asked last is still to
 // be answered.
-func (d *Day) tail() float64 {
-	longest := 0.0
-	for _, p := range d.Service.Products {
-		longest = max(longest, p.LimitMs)
-	}
-	return longest/1000 + 1
-}
+func (d *Day) tail() float64 { return d.Service.LongestMs()/1000 + 1 }
 
 // Up starts the nodes, the list service and the fronts, and waits until the fronts are ready. Down is owed
 // after it, also when it fails.
--- a/nodes/client.go
+++ b/nodes/client.go
@@ -155,7 +155,7 @@
 		}
 		c.log.Debug().Str("play", a.Play).Int("try", a.Try).Str("node", a.Address).Uint8("ending", uint8(how)).Msg("set-up ended")
 		c.runner.Tell(func(now int64, core *session.Core) { core.SetUpEnded(now, a.Ref, how, load) })
-		if how == front.NoAnswer || how == front.CalledOff || how == front.Lost || how == front.Errored {
+		if how.MayHaveRun() {
 			c.End(a.Ref, a.Address, "given up") // it may have run: what still does is to end
 		}
 	})
--- a/pulse/pulse.go
+++ b/pulse/pulse.go
@@ -39,7 +39,6 @@
 	heardAt  int64 // last sign of life
 	brokeAt  int64
 	failures int
-	dialAt   int64
 	lost     bool // the plays there were given up since it broke
 }
 
@@ -97,13 +96,13 @@
 		}
 	}
 	s.alive = false
-	s.dialAt = now + Pause(s.failures, w.rnd.Float())
+	dialAt = now + Pause(s.failures, w.rnd.Float())
 	s.failures++
 	if gone {
 		s.met = true
 		ended, s.lost = !s.lost, true
 	}
-	return s.dialAt, ended
+	return dialAt, ended
 }
 
 // Expired tells, once, that the plays of a node whose stream stays broken must have ended by now.
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -94,17 +94,10 @@
 	mux.Handle("GET /metrics", f.metrics())
 	f.server = &http.Server{Handler: mux, ReadHeaderTimeout: session.Duration(intake.HeaderFor),
 		IdleTimeout: session.Duration(intake.IdleFor), MaxHeaderBytes: 16 << 10,
-		WriteTimeout: longest(service) + session.Duration(intake.AnswerFor)}
+		WriteTimeout: time.Duration(service.LongestMs()*float64(time.Millisecond)) + session.Duration(intake.AnswerFor)}
 	return f, nil
 }
 
-func longest(s *conf.Service) (d time.Duration) {
-	for _, p := range s.Products {
-		d = max(d, time.Duration(p.LimitMs*float64(time.Millisecond)))
-	}
-	return d
-}
-
 // Minter makes the minter of session tokens from the keys in the settings.
 func Minter(keys []conf.Key) (*token.Minter, error) {
 	var signing token.Key
--- a/session/core.go
+++ b/session/core.go
@@ -106,6 +106,9 @@
 	Reply   *Reply
 }
 
+// key tells requests for the same play apart from others.
+func (a *Ask) key() string { return a.Viewer + "\x00" + a.Title + "\x00" + strconv.Itoa(a.Product) }
+
 // Back is what a returning viewer's token says.
 type Back struct {
 	Play   string
@@ -321,7 +324,7 @@
 		}
 		isMoved = how == moved
 	}
-	key := a.Viewer + "\x00" + a.Title + "\x00" + strconv.Itoa(a.Product)
+	key := a.key()
 	if c.asking[key] != nil {
 		c.deny(a, busy)
 		return
@@ -448,7 +451,7 @@
 		return
 	}
 	p.stage = waiting
-	p.mayHave = p.mayHave || how != front.TurnedAway && how != front.NoConnect && how != front.NotSent
+	p.mayHave = p.mayHave || how.MayHaveRun()
 	c.nodes[p.node].plays--
 	res := c.mod.Ended(now, p.h, r.Try, how, p.left, load)
 	if p.left {
@@ -826,8 +829,7 @@
 
 // free lets the same viewer ask for the title again.
 func (c *Core) free(p *play) {
-	key := p.ask.Viewer + "\x00" + p.ask.Title + "\x00" + strconv.Itoa(p.ask.Product)
-	if c.asking[key] == p {
+	if key := p.ask.key(); c.asking[key] == p {
 		delete(c.asking, key)
 	}
 }
--- a/session/core_test.go
+++ b/session/core_test.go
@@ -10,7 +10,7 @@
 	"gullrail/pulse"
 )
 
-const start = clockStart
+const start = ClockStart
 
 // recorder is a Carrier that only writes down what was ordered.
 type recorder struct {
--- a/session/runner.go
+++ b/session/runner.go
@@ -18,18 +18,15 @@
 // Clock is the one clock of a front: monotonic tenths of a millisecond, never going back.
 type Clock struct{ began time.Time }
 
-// clockStart is where clocks begin, so that a time well before the start is still above 0, which
+// ClockStart is where clocks begin, so that a time well before the start is still above 0, which
 // stands for long past.
-const clockStart = 24 * 3600 * front.Second
-
-// ClockStart is where a clock begins.
-const ClockStart = clockStart
+const ClockStart = 24 * 3600 * front.Second
 
 // NewClock starts a clock.
 func NewClock() *Clock { return &Clock{time.Now()} }
 
 // Now reads the clock.
-func (c *Clock) Now() int64 { return clockStart + int64(time.Since(c.began)/(100*time.Microsecond)) }
+func (c *Clock) Now() int64 { return ClockStart + int64(time.Since(c.began)/(100*time.Microsecond)) }
 
 // At is the clock's time of a moment told by the wall clock; 0 if it lies before the clock's beginning.
 func (c *Clock) At(t time.Time) int64 {
