No probes where load comes with answers; the adapter passes on live, prices, tenants

The other deployments have probes or answers, never both: unchanged. The test was seen to fail without the condition.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -373,7 +373,7 @@
 // and tells that an answer is to come: the play is placed by it. Guards against blind set-ups and
 // against nodes that died unlisted; it costs a probe more, and harms where reports are very late.
 func (f *Front) look(now int64, p *ply, at int) bool {
-	if f.val("probing") == 0 || p.want.Limit-now <= 2*wakeEvery { // the next check may be too late
+	if !f.asks() || p.want.Limit-now <= 2*wakeEvery { // the next check may be too late
 		return false
 	}
 	p.look = [2]int{at, f.cands[f.rnd.Below(len(f.cands))].at}
@@ -643,10 +643,14 @@
 	f.cut(now, at, max(l.Link, l.Uplink), overMark)
 }
 
+// asks tells that probes are worth their price: allowed, and load comes in no other way. Where answers
+// and notes tell it, each front hears of the nodes that it uses by itself.
+func (f *Front) asks() bool { return f.val("probing") > 0 && f.val("reports.answers") == 0 }
+
 // probe asks a node for its load, as far as probes are earned.
 func (f *Front) probe(now int64, at int, cost float64) {
 	n := &f.nodes[at]
-	if f.val("probing") > 0 && f.probes >= cost && !n.probing && now-n.probedAt >= settle {
+	if f.asks() && f.probes >= cost && !n.probing && now-n.probedAt >= settle {
 		f.probes -= cost
 		n.probing, n.probedAt = true, now
 		f.res.Probes = append(f.res.Probes, at)
@@ -785,7 +789,7 @@
 		return
 	}
 	room := f.room(now, at)
-	if f.val("probing") > 0 && now-n.link.at > recheck/int64(len(n.plays)) { // too old to go by: ask
+	if f.asks() && now-n.link.at > recheck/int64(len(n.plays)) { // too old to go by: ask
 		room = math.Inf(1)
 	}
 	part := room * f.part(now, at)
@@ -810,7 +814,7 @@
 		if p == nil {
 			return
 		}
-		if f.val("probing") > 0 && now-n.link.at > freshFor {
+		if f.asks() && now-n.link.at > freshFor {
 			if now-n.raisedAt < upEvery/int64(len(n.plays)) { // asked and drawn for just before
 				return
 			}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -621,3 +621,10 @@
 		t.Fatal("only a node gone for skipFor without plays is to be forgotten")
 	}
 }
+
+func TestNoProbesWhereLoadComesWithAnswers(t *testing.T) {
+	f := fleet(2, probing, func(s map[string][]float64) { s["reports.answers"] = []float64{1} })
+	if _, r := f.Take(now, want(0)); len(r.Probes) != 0 || sole(t, r).Do != front.Place {
+		t.Fatalf("got %+v", r)
+	}
+}
--- a/internal/heath/terms.go
+++ b/internal/heath/terms.go
@@ -19,6 +19,10 @@
 	{"family-info.rack-link-kb", "uplink.rate", false}, {"family-info.weight-kb", "weight.rate", true},
 	{"family-info.see-ms", "note.lag", false},
 	{"family-info.switch-s", "switch.seconds", false},
+	{"family-info.is-live", "product.live", false}, {"family-info.join-adds", "join", false},
+	{"over-share-worth", "tenant.over", false},
+	{"limits.peer-messages", "peers", false},
+	{"tariffs.moves", "price.move", false}, {"tariffs.cross-zone", "price.cross", false},
 	{"limits.most-tries", "tries", true}, {"limits.probing", "probing", false},
 	{"limits.retry-after", "comeback", false}, {"limits.max-retry-after-ms", "comeback.most", false},
 	{"limits.cancel", "recall", false},
@@ -37,6 +41,7 @@
 // names are the wire's names that become small numbers.
 type names struct {
 	products, kinds, zones map[string]int
+	tenants                map[string]int
 	columns                []string
 }
 
@@ -125,7 +130,7 @@
 	if len(lanes) == 0 {
 		return nil, names{}, fieldError{"config.lanes", "missing"}
 	}
-	nm := names{products: map[string]int{}}
+	nm := names{products: map[string]int{}, tenants: map[string]int{}}
 	for i, l := range lanes {
 		lane, _ := l.(map[string]any)
 		name, _ := lane["name"].(string)
@@ -150,6 +155,17 @@
 	if rates := out["product.rate"]; len(rates) != len(lanes) {
 		return nil, names{}, fieldError{"config.family-info.rate-factor", "not one value for each lane"}
 	}
+	parties, _ := root["parties"].([]any)
+	for i, t := range parties {
+		party, _ := t.(map[string]any)
+		name, _ := party["name"].(string)
+		quota, ok := party["quota-per-s"].(float64)
+		if name == "" || !ok {
+			return nil, names{}, fieldError{fmt.Sprintf("config.parties[%d]", i), "without a name or a quota-per-s"}
+		}
+		nm.tenants[name] = i
+		out["tenant.quota"] = append(out["tenant.quota"], quota)
+	}
 	var err error
 	if nm.kinds, err = index(root, "shapes"); err != nil {
 		return nil, names{}, err
@@ -169,7 +185,11 @@
 			nm.columns = append(nm.columns, s)
 		}
 	}
-	out["reports.uplink"] = []float64{0}
+	how, _ := lookup(root, "report.how")
+	out["reports.answers"], out["reports.uplink"] = []float64{0}, []float64{0}
+	if how == "piggyback" {
+		out["reports.answers"][0] = 1
+	}
 	for _, c := range nm.columns {
 		if c == "x1" {
 			out["reports.uplink"][0] = 1
