--- a/choice/book.go
+++ b/choice/book.go
@@ -18,6 +18,7 @@
 func (f *Front) begin() {
 	f.changes++
 	f.res.Orders, f.res.Probes = f.res.Orders[:0], f.res.Probes[:0]
+	f.res.Tells, f.words = f.res.Tells[:0], f.words[:0]
 }
 
 func (f *Front) order(o front.Order) { f.res.Orders = append(f.res.Orders, o) }
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -9,6 +9,7 @@
 package choice
 
 import (
+	"encoding/binary"
 	"math"
 
 	"gullrail/front"
@@ -55,6 +56,8 @@
 	freshFor    = 1500 * ms // an older report is asked again before a step up
 	recheck     = 32 * sec  // an older figure that keeps one own play down is asked again; of two, twice as soon
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
+	looks       = 4         // holders looked at before a set-up where fronts tell each other
+	probeLooks  = 2         // the same by probes, which have a price
 	lookFor     = 100 * ms  // a play waits no longer for an answer to its look
 	perPlay     = 0.7       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
@@ -64,6 +67,13 @@
 	doublings   = 2         // of refusedFor at most: 4 s, as long as late reports call it empty
 	coldMargin  = 1.3       // how far under the cold allowance all fronts together stay
 	budgetEdge  = 20 * ms   // kept clear at either end of the budget's window
+
+	// What fronts tell each other: a node's key and, of figures, what is asked and how old that is.
+	figures   = 'f'
+	asksFor   = 'a'
+	untold    = 255      // a figure that the teller does not have
+	askedUnit = 64.0     // steps of a figure to 1, up to about 4
+	ageUnit   = 100 * ms // of a figure's age, up to 25 s
 )
 
 // New makes a front from its settings, a map of names to numbers, and a seed.
@@ -72,6 +82,7 @@
 	f.racks = make([]rack, max(1, int(f.val("racks"))))
 	f.cells = make([][]int, max(1, int(f.val("cells"))))
 	f.kinds = make([]kind, len(set["kind.streams"]))
+	f.keys = map[uint32]int{}
 	return f
 }
 
@@ -100,7 +111,8 @@
 			n.unlistedAt = now
 		}
 		n.phase, n.kind, n.zone, n.cell = l.Phase, l.Kind, l.Zone, l.Cell
-		n.rack, n.started, n.weight = l.Cell%len(f.racks), l.Started, l.Weight
+		n.rack, n.started, n.weight, n.key = l.Cell%len(f.racks), l.Started, l.Weight, l.Key
+		f.keys[l.Key] = l.Index
 	}
 	f.relist()
 	return f.end(now)
@@ -160,7 +172,9 @@
 	}
 	at, was := p.node, p.stage
 	f.unbind(h, p)
-	f.report(now, at, load, reportLag)
+	if f.report(now, at, load, reportLag, 0) {
+		f.tell(now, f.keeper(at), at)
+	}
 	if how != front.Served && how != front.NotSent && was != deserted {
 		f.viewers[p.want.Viewer].left, f.viewers[p.want.Viewer].leftAt = at+1, now
 	}
@@ -224,7 +238,30 @@
 		if p.stage == playing && now-p.started > reportLag { // not the note that comes at set-up
 			lag += int64(f.val("note.lag"))
 		}
-		f.report(now, p.node, load, lag)
+		all := load.Uplink >= 0 || f.val("reports.uplink") == 0 // the uplink's figure follows the link's
+		if f.report(now, p.node, load, lag, 0) && all && (lag == reportLag || f.rnd.Float() < f.part(now, p.node)) {
+			f.tell(now, f.keeper(p.node), p.node) // all here hear the later ones: each by its part
+		}
+	}
+	return f.end(now)
+}
+
+// Heard takes in a message of another front: a node's figure, or a question for one.
+func (f *Front) Heard(now int64, from int, b []byte) *front.Result {
+	f.begin()
+	if len(b) >= 5 && f.val("peers") > 0 && from >= 0 && from < int(f.val("fronts")) {
+		at, known := f.keys[binary.BigEndian.Uint32(b[1:])]
+		switch {
+		case !known || !f.nodes[at].listed:
+		case b[0] == asksFor && len(b) == 5:
+			f.tell(now, from, at)
+		case b[0] == figures && len(b) == 8:
+			f.nodes[at].probing = false
+			age := int64(b[7]) * ageUnit
+			f.report(now, at, front.Load{Streams: -1, Link: unpack(b[5]), Uplink: unpack(b[6])}, reportLag+age, age)
+			f.resetSetUps(now, at)
+			f.placeWaiting(now, false)
+		}
 	}
 	return f.end(now)
 }
@@ -235,12 +272,8 @@
 	n := f.known(at)
 	n.probing = false
 	if how == front.Served {
-		f.report(now, at, load, reportLag)
-		for _, h := range n.plays {
-			if p := f.plays.Get(h); p.stage == settingUp {
-				f.setRung(now, h, p, f.fit(now, at, p, f.room(now, at)+f.rate(p, p.rung)))
-			}
-		}
+		f.report(now, at, load, reportLag, 0)
+		f.resetSetUps(now, at)
 	}
 	f.placeWaiting(now, false)
 	return f.end(now)
@@ -307,7 +340,7 @@
 		return true
 	}
 	n := &f.nodes[at] // viewers who left it may pass over its number for skipFor
-	if n.listed || n.probing || len(n.plays) > 0 || now-n.unlistedAt < skipFor {
+	if n.listed || n.probing && f.val("peers") == 0 || len(n.plays) > 0 || now-n.unlistedAt < skipFor {
 		return false
 	}
 	*n = unheard
@@ -373,13 +406,16 @@
 // and tells that an answer is to come: the play is placed by it. Guards against blind set-ups and
 // against nodes that died unlisted; it costs a probe more, and harms where reports are very late.
 func (f *Front) look(now int64, p *ply, at int) bool {
-	if !f.asks() || p.want.Limit-now <= 2*wakeEvery { // the next check may be too late
+	if !f.asks() && f.val("peers") == 0 || p.want.Limit-now <= 2*wakeEvery { // the next check may be too late
 		return false
 	}
-	p.look = [2]int{at, f.cands[f.rnd.Below(len(f.cands))].at}
-	for _, at := range p.look {
-		if now-f.nodes[at].link.at > freshFor {
-			f.probe(now, at, 1)
+	for i := range p.look {
+		p.look[i] = at
+		if i > 0 && (i < probeLooks || f.val("peers") > 0) {
+			p.look[i] = f.cands[f.rnd.Below(len(f.cands))].at
+		}
+		if now-f.nodes[p.look[i]].link.at > freshFor {
+			f.probe(now, p.look[i], 1)
 		}
 	}
 	return f.looking(now, p)
@@ -434,7 +470,7 @@
 		c, full := cand{at: i, room: f.room(now, i)}, false
 		if c.room < need { // only then does it matter how much is used
 			c.used = f.used(now, i)
-			if full = f.full(now, i, c.used, need); full {
+			if full = f.full(now, i, c.used, need); full && f.asks() {
 				f.probe(now, i, 1)
 			}
 		}
@@ -617,13 +653,13 @@
 	return int(min(100, f.level+rungSpacing))
 }
 
-// report takes in what a node told of its link and uplink.
-func (f *Front) report(now int64, at int, l front.Load, lag int64) {
-	if l.Link < 0 && l.Uplink < 0 {
-		return
+// report takes in what a node told of its link and uplink so long ago, and tells whether it is news.
+func (f *Front) report(now int64, at int, l front.Load, lag, age int64) bool {
+	n := &f.nodes[at]
+	if l.Link < 0 && l.Uplink < 0 || age > 0 && now-age <= n.link.at {
+		return false
 	}
 	f.changes++
-	n := &f.nodes[at]
 	late := 0.0
 	for _, h := range n.plays {
 		if p := f.plays.Get(h); now-p.sent < lag {
@@ -634,27 +670,84 @@
 	}
 	if l.Link >= 0 {
 		f.usual, f.told = f.usual+(l.Link-f.usual)/usualOver, true
-		n.link = account{now, l.Link, n.own - late}
+		n.link = account{now - age, l.Link, n.own - late}
 	}
 	if r := &f.racks[n.rack]; l.Uplink >= 0 {
 		f.usualUp += (l.Uplink - f.usualUp) / usualOver
-		r.link = account{now, l.Uplink, r.own - late}
+		r.link = account{now - age, l.Uplink, r.own - late}
 	}
 	f.cut(now, at, max(l.Link, l.Uplink), overMark)
+	return true
+}
+
+// resetSetUps sets the rungs that are still free to set by a fresh figure.
+func (f *Front) resetSetUps(now int64, at int) {
+	for _, h := range f.nodes[at].plays {
+		if p := f.plays.Get(h); p.stage == settingUp {
+			f.setRung(now, h, p, f.fit(now, at, p, f.room(now, at)+f.rate(p, p.rung)))
+		}
+	}
+}
+
+// keeper is the front that keeps a node's figures for all, the same for every front.
+func (f *Front) keeper(at int) int { return int(f.nodes[at].key) % max(1, int(f.val("fronts"))) }
+
+// tell sends what is known of a node to a front.
+func (f *Front) tell(now int64, to, at int) {
+	n := &f.nodes[at]
+	if f.val("peers") == 0 || to == int(f.val("front")) {
+		return
+	}
+	link, uplink, age := byte(untold), byte(untold), now-n.link.at
+	if n.link.at > 0 && age < 255*ageUnit {
+		link = pack(n.link.asked)
+		if r := &f.racks[n.rack]; r.link.at > 0 && now-r.link.at < fades {
+			uplink = pack(r.link.asked)
+		}
+	}
+	f.send(to, figures, n.key, link, uplink, byte(min(255, age/ageUnit)))
+}
+
+func (f *Front) send(to int, kind byte, key uint32, more ...byte) {
+	from := len(f.words)
+	f.words = append(binary.BigEndian.AppendUint32(append(f.words, kind), key), more...)
+	f.res.Tells = append(f.res.Tells, front.Tell{To: to, Bytes: f.words[from:len(f.words):len(f.words)]})
+}
+
+// pack and unpack put a figure of what is asked into a byte.
+func pack(asked float64) byte { return byte(max(0, min(untold-1, math.Round(asked*askedUnit)))) }
+
+func unpack(b byte) float64 {
+	if b == untold {
+		return -1
+	}
+	return float64(b) / askedUnit
 }
 
 // asks tells that probes are worth their price: allowed, and load comes in no other way. Where answers
 // and notes tell it, each front hears of the nodes that it uses by itself.
 func (f *Front) asks() bool { return f.val("probing") > 0 && f.val("reports.answers") == 0 }
 
-// probe asks a node for its load, as far as probes are earned.
+// probe asks for a node's load: its keeper, where fronts may tell each other, or else the node itself
+// as far as probes are earned. An answer of the keeper may be lost.
 func (f *Front) probe(now int64, at int, cost float64) {
-	n := &f.nodes[at]
-	if f.asks() && f.probes >= cost && !n.probing && now-n.probedAt >= settle {
+	n, to := &f.nodes[at], f.keeper(at)
+	if now-n.probedAt < settle {
+		return
+	}
+	switch {
+	case f.val("peers") > 0:
+		if to == int(f.val("front")) {
+			return
+		}
+		f.send(to, asksFor, n.key)
+	case f.asks() && f.probes >= cost && !n.probing:
 		f.probes -= cost
-		n.probing, n.probedAt = true, now
 		f.res.Probes = append(f.res.Probes, at)
+	default:
+		return
 	}
+	n.probing, n.probedAt = true, now
 }
 
 // ---- Rungs in play ----
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -143,7 +143,7 @@
 func TestAccountHoldsReportAndOwnChangesSince(t *testing.T) {
 	f := fleet(1, alone)
 	playingAt(f, 0, 0, 1, 0)
-	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1}, reportLag)
+	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1}, reportLag, 0)
 	playingAt(f, 0, 0, 1, now)
 	if a := f.linkAsked(now, 0); math.Abs(a-0.7) > 1e-9 {
 		t.Fatalf("got %v", a)
@@ -423,7 +423,7 @@
 	h, p := playingAt(f, 0, 0, 0, 0)
 	f.setRung(now, h, p, 1)
 	f.setRung(now, h, p, 0)
-	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1}, reportLag)
+	f.report(now, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1}, reportLag, 0)
 	if a := f.linkAsked(now, 0); math.Abs(a-0.5) > 1e-9 {
 		t.Fatalf("got %v", a)
 	}
@@ -485,7 +485,7 @@
 	if math.Abs(f.usual-1) > 0.01 { // 200 of own, 20 fronts, 4 links of 1000
 		t.Fatalf("links are taken to be asked %v", f.usual)
 	}
-	f.report(now, 1, front.Load{Streams: -1, Link: 0.5, Uplink: -1}, reportLag)
+	f.report(now, 1, front.Load{Streams: -1, Link: 0.5, Uplink: -1}, reportLag, 0)
 	f.Wake(now + 1)
 	if f.usual > 0.96 {
 		t.Fatalf("after a figure of 0.5 still %v", f.usual)
@@ -545,7 +545,7 @@
 func TestFullUplinkNotHeardOfCountsAsTheAverage(t *testing.T) {
 	f := fleet(4, func(s map[string][]float64) { s["reports.uplink"] = []float64{1} })
 	for i := range int64(40) {
-		f.report(now+i, 0, front.Load{Streams: -1, Link: 0.3, Uplink: 2}, 0)
+		f.report(now+i, 0, front.Load{Streams: -1, Link: 0.3, Uplink: 2}, 0, 0)
 	}
 	if a := f.uplinkAsked(now, 1); a < 1.8 {
 		t.Fatalf("an uplink of which nothing was told counts as asked %v", a)
--- a/choice/state.go
+++ b/choice/state.go
@@ -30,6 +30,8 @@
 	held    []int   // nodes of the last title asked for
 	cands   []cand
 	res     front.Result
+	keys    map[uint32]int // nodes by key
+	words   []byte         // of the messages in res
 }
 
 // kind is a kind of node and its payoffs.
@@ -66,6 +68,7 @@
 	lostAt     int64 // last seen to break
 	backAt     int64 // first play after that
 	slot       int64 // last cold turn used
+	key        uint32
 }
 
 // rack is a rack and its uplink.
@@ -123,8 +126,8 @@
 	started int64
 	raised  int64 // last step up
 	sampled bool
-	looked  bool   // its first look at holders was taken
-	look    [2]int // at these
+	looked  bool       // its first look at holders was taken
+	look    [looks]int // at these
 }
 
 // viewer is what outlasts a play: a viewer's key comes again with a new play.
--- a/front/front.go
+++ b/front/front.go
@@ -32,6 +32,7 @@
 	Cell    int
 	Started int64 // latest start; 0 is long past
 	Weight  float64
+	Key     uint32 // the same at every front for the same node; used where fronts tell each other
 }
 
 // Want is what a viewer asks for.
@@ -94,10 +95,17 @@
 	ComeBack int64
 }
 
+// Tell is a message to another front end, known by its number. It may be lost.
+type Tell struct {
+	To    int
+	Bytes []byte
+}
+
 // Result is what a call decided. It is valid until the next call.
 type Result struct {
 	Orders []Order // to be carried out in this order
 	Probes []int   // nodes to probe
+	Tells  []Tell  // messages to other front ends
 	Wake   int64   // when Wake wants to be called at the latest
 }
 
@@ -125,6 +133,8 @@
 	Left(now int64, h Handle) *Result
 	// Probed brings the end of a probe.
 	Probed(now int64, node int, how Ending, load Load) *Result
+	// Heard brings a message of another front end, whatever it holds.
+	Heard(now int64, from int, bytes []byte) *Result
 	// Wake lets the module do what is due.
 	Wake(now int64) *Result
 	// ForgetViewer and ForgetNode ask to use a number again: true says that nothing of it is
--- a/internal/heath/host.go
+++ b/internal/heath/host.go
@@ -2,7 +2,10 @@
 
 import (
 	"bufio"
+	"encoding/base64"
 	"fmt"
+	"hash/fnv"
+	"io"
 	"os"
 	"runtime/debug"
 	"strconv"
@@ -187,6 +190,13 @@
 	return n
 }
 
+// key is the same at every instance for the same address.
+func key(addr string) uint32 {
+	h := fnv.New32a()
+	io.WriteString(h, addr)
+	return h.Sum32()
+}
+
 // want reads what INCOMING and EXISTING say of a viewer.
 func (in *instance) want(ln *line, now int64) front.Want {
 	bits := ln.wholeOr("bits", 0)
@@ -232,6 +242,12 @@
 			in.armed = 0
 		}
 		h.encode(in, in.mod.Wake(now))
+	case "FROM_PEER":
+		b, err := base64.StdEncoding.DecodeString(strings.TrimPrefix(ln.text("bytes"), "-"))
+		if err != nil {
+			return fmt.Errorf("FROM_PEER: %w", fieldError{"bytes", "not base64"})
+		}
+		h.encode(in, in.mod.Heard(now, int(ln.whole("by")), b))
 	case "PING_RESULT":
 		how, load := ln.ending(), ln.load(in.names.columns)
 		h.encode(in, in.mod.Probed(now, in.node(ln.text("node")), how, load))
@@ -296,7 +312,7 @@
 	for _, r := range h.pages[page] {
 		in.list = append(in.list, front.Node{Index: in.node(r.addr), Phase: r.phase,
 			Kind: known(in.names.kinds, "generation-hw", r.kind), Zone: known(in.names.zones, "campus", r.zone),
-			Cell: r.cell, Started: r.started, Weight: r.weight})
+			Cell: r.cell, Started: r.started, Weight: r.weight, Key: key(r.addr)})
 	}
 	h.encode(in, in.mod.Nodes(h.now, in.list, how != "update"))
 	return nil
@@ -344,6 +360,10 @@
 		h.context()
 		fmt.Fprintf(h.out, "SAMPLE node=%s\n", in.addr[n])
 	}
+	for _, t := range res.Tells {
+		h.context()
+		fmt.Fprintf(h.out, "NOTIFY dst=%d bytes=%s\n", t.To, base64.StdEncoding.EncodeToString(t.Bytes))
+	}
 	if res.Wake > 0 && (in.armed == 0 || res.Wake < in.armed) {
 		h.context()
 		in.armed = max(res.Wake, h.now+1)
--- a/lab/baseline.go
+++ b/lab/baseline.go
@@ -277,3 +277,9 @@
 func (b *baseline) ForgetNode(_ int64, node int) bool {
 	return node >= len(b.nodes) || !b.nodes[node].listed
 }
+
+// Heard passes over what other fronts say.
+func (b *baseline) Heard(now int64, from int, bytes []byte) *front.Result {
+	b.begin()
+	return b.end(now)
+}
