--- a/choice/book.go
+++ b/choice/book.go
@@ -40,6 +40,7 @@
 
 // relist enters the listed nodes by rack and by cell, so that no play walks them all.
 func (f *Front) relist() {
+	f.listed = 0
 	for i := range f.racks {
 		f.racks[i].nodes = f.racks[i].nodes[:0]
 	}
@@ -48,6 +49,7 @@
 	}
 	for i := range f.nodes {
 		if n := &f.nodes[i]; n.listed {
+			f.listed++
 			f.racks[n.rack].nodes = append(f.racks[n.rack].nodes, i)
 			f.cells[n.cell%len(f.cells)] = append(f.cells[n.cell%len(f.cells)], i)
 		}
@@ -65,6 +67,17 @@
 	return f.held
 }
 
+// viewersOf counts own plays of a play's title and product, itself included.
+func (f *Front) viewersOf(p *ply) int {
+	n := 1
+	for i := range f.plays.Len() {
+		if _, o := f.plays.At(i); o != nil && o != p && o.want.Title == p.want.Title && o.want.Product == p.want.Product {
+			n++
+		}
+	}
+	return n
+}
+
 // prefer keeps the candidates that pass, or all if none does.
 func (f *Front) prefer(pass func(c *cand) bool) {
 	k := 0
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -39,8 +39,9 @@
 	fullFor     = 4 * sec   // an older figure turns nobody away
 	rungSpacing = 1.0       // rungs a play may start or rise to over the mean of those that could rise
 	blindRungs  = 0.5       // the same on a node of which nothing is known: the mean, rounded
+	closeRungs  = 0.7       // in place of both, where the mean is that of many fronts
 	behind      = 0.7       // of the average asked of links: one under it after a step may exceed the reach
-	swapGain    = 3.0       // a step up must earn this many times its price
+	swapGain    = 4.0       // a step up must earn this many times its price
 	leastLeft   = 20 * sec  // an untold length: as much is left as has played, this at least
 	shortUnder  = 0.98      // share of rate: below it a play loses worth
 	shortHolds  = 1500 * ms // a note of shortage, due each second, counts this long
@@ -49,6 +50,8 @@
 	fades       = 20 * sec  // an older figure says no more of a link than what links are asked on average
 	usualOver   = 10.0      // figures that this average goes over
 	crowd       = 0.75      // of own changes since a report: what the others, if many, are taken to add
+	joinFrom    = 2.0       // viewers expected on a stream from which one more counts as joining it
+	gatherPart  = 0.5       // of a link that the viewers of one live title, gathered, are to ask
 	nearRoom    = 0.1       // of the most room: holders this near are equals, drawn at random
 	farCost     = 0.1       // asked over given: another zone's node counts as so much fuller, with no room
 	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
@@ -58,6 +61,7 @@
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
 	looks       = 4         // holders looked at before a set-up where fronts tell each other
 	probeLooks  = 2         // the same by probes, which have a price
+	heardFor    = 15 * sec  // no message for so long: answers are not waited for
 	lookFor     = 100 * ms  // a play waits no longer for an answer to its look
 	perPlay     = 0.7       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
@@ -65,12 +69,18 @@
 	holdShare   = 0.4       // of the first-frame target a play may wait for a cold or full node's turn
 	refusedFor  = 1 * sec   // a node that refused as full is left alone, doubled for each in a row
 	doublings   = 2         // of refusedFor at most: 4 s, as long as late reports call it empty
+	giveEvery   = 4         // turns of a cold node to one leave of its keeper
 	coldMargin  = 1.3       // how far under the cold allowance all fronts together stay
 	budgetEdge  = 20 * ms   // kept clear at either end of the budget's window
 
 	// What fronts tell each other: a node's key and, of figures, what is asked and how old that is.
 	figures   = 'f'
+	leave     = 'l' // figures, with the leave to set up one play on a cold node
 	asksFor   = 'a'
+	levelOf   = 20.0     // levels told that their mean goes over, beside the own plays
+	trustOf   = 4.0      // levels told from which the mean is held to be the fleet's
+	levelBase = 4.0      // rungs: the lowest level that can be told is so far below 0
+	levelUnit = 16.0     // steps of a level to a rung
 	untold    = 255      // a figure that the teller does not have
 	askedUnit = 64.0     // steps of a figure to 1, up to about 4
 	ageUnit   = 100 * ms // of a figure's age, up to 25 s
@@ -82,6 +92,7 @@
 	f.racks = make([]rack, max(1, int(f.val("racks"))))
 	f.cells = make([][]int, max(1, int(f.val("cells"))))
 	f.kinds = make([]kind, len(set["kind.streams"]))
+	f.lifts = f.earnings()
 	f.keys = map[uint32]int{}
 	return f
 }
@@ -90,12 +101,18 @@
 
 func (f *Front) end(now int64) *front.Result {
 	f.res.Wake = now + wakeEvery
+	if len(f.waiting) > 0 { // for looks, mostly: not longer than they take
+		f.res.Wake = now + lookFor
+	}
 	return &f.res
 }
 
 // Nodes follows the list. What a full list lacks is gone.
 func (f *Front) Nodes(now int64, list []front.Node, whole bool) *front.Result {
 	f.begin()
+	if f.born == 0 {
+		f.born = now
+	}
 	for i := range f.nodes {
 		if whole && f.nodes[i].listed {
 			f.nodes[i].listed, f.nodes[i].unlistedAt = false, now
@@ -173,7 +190,7 @@
 	at, was := p.node, p.stage
 	f.unbind(h, p)
 	if f.report(now, at, load, reportLag, 0) {
-		f.tell(now, f.keeper(at), at)
+		f.tell(now, f.keeper(at), at, figures)
 	}
 	if how != front.Served && how != front.NotSent && was != deserted {
 		f.viewers[p.want.Viewer].left, f.viewers[p.want.Viewer].leftAt = at+1, now
@@ -240,7 +257,7 @@
 		}
 		all := load.Uplink >= 0 || f.val("reports.uplink") == 0 // the uplink's figure follows the link's
 		if f.report(now, p.node, load, lag, 0) && all && (lag == reportLag || f.rnd.Float() < f.part(now, p.node)) {
-			f.tell(now, f.keeper(p.node), p.node) // all here hear the later ones: each by its part
+			f.tell(now, f.keeper(p.node), p.node, figures) // all here hear the later ones: each by its part
 		}
 	}
 	return f.end(now)
@@ -249,15 +266,28 @@
 // Heard takes in a message of another front: a node's figure, or a question for one.
 func (f *Front) Heard(now int64, from int, b []byte) *front.Result {
 	f.begin()
+	f.heardAt = now
 	if len(b) >= 5 && f.val("peers") > 0 && from >= 0 && from < int(f.val("fronts")) {
 		at, known := f.keys[binary.BigEndian.Uint32(b[1:])]
 		switch {
 		case !known || !f.nodes[at].listed:
 		case b[0] == asksFor && len(b) == 5:
-			f.tell(now, from, at)
-		case b[0] == figures && len(b) == 8:
+			kind := byte(figures)
+			if f.mayGive(now, at) {
+				f.nodes[at].slot, _ = f.turnOf(now, at)
+				kind = leave
+			}
+			f.tell(now, from, at, kind)
+		case (b[0] == figures || b[0] == leave) && len(b) == 9:
 			f.nodes[at].probing = false
+			if b[0] == leave {
+				f.nodes[at].leave = f.nodes[at].probedAt + lookFor
+			}
 			age := int64(b[7]) * ageUnit
+			if b[8] != untold {
+				f.levels = min(f.levels+1, levelOf)
+				f.theirs += (float64(b[8])/levelUnit - levelBase - f.theirs) / f.levels
+			}
 			f.report(now, at, front.Load{Streams: -1, Link: unpack(b[5]), Uplink: unpack(b[6])}, reportLag+age, age)
 			f.resetSetUps(now, at)
 			f.placeWaiting(now, false)
@@ -283,7 +313,7 @@
 func (f *Front) Wake(now int64) *front.Result {
 	f.begin()
 	f.placeWaiting(now, true)
-	below, sum, all := 0, 0, 0
+	below, sum, all := 0, 0.0, 0
 	for i := range f.plays.Len() {
 		_, p := f.plays.At(i)
 		if p == nil || p.stage != playing {
@@ -294,10 +324,12 @@
 			f.sample(f.nodes[p.node].kind, 2*f.shareNow(now, p.node)-1)
 		}
 		if all++; p.rung < f.top(p) {
-			below, sum = below+1, sum+p.rung
+			below, sum = below+1, sum+float64(p.rung)-f.lift(p)
 		}
 	}
-	f.level = float64(sum) / float64(max(1, below))
+	f.mine = sum / float64(max(1, below))
+	f.rising = below > 0
+	f.level = (sum + f.theirs*f.levels) / max(1, float64(below)+f.levels)
 	if below == 0 && all > 0 {
 		f.level = math.Inf(1)
 	}
@@ -373,6 +405,13 @@
 	at, wait := -1, false
 	if p.try+1 < int(f.val("tries")) && now < p.want.Limit && f.seatFree(p) && f.mayAgain(now, p) {
 		at, wait = f.choose(now, p)
+		if !p.looked && (at >= 0 || f.cold >= 0) {
+			p.looked = true
+			if f.look(now, p, at) {
+				f.waiting = append(f.waiting, h)
+				return
+			}
+		}
 	}
 	if at < 0 {
 		if wait && p.want.Limit-now > 2*wakeEvery { // as in look
@@ -382,19 +421,13 @@
 		}
 		return
 	}
-	if !p.looked {
-		p.looked = true
-		if f.look(now, p, at) {
-			f.waiting = append(f.waiting, h)
-			return
-		}
-	}
 	n := &f.nodes[at]
 	p.rung, p.stage, p.sent = f.fit(now, at, p, f.room(now, at)), settingUp, now
 	if p.try++; p.try > 0 {
 		f.again = append(since(f.again, now-int64(f.val("budget.over"))-budgetEdge), now)
 	}
 	n.slot, _ = f.turnOf(now, at)
+	n.leave = 0
 	f.bind(h, p, at)
 	f.order(front.Order{Play: h, Do: front.Place, Node: at, Rung: p.rung, Until: f.until(now, p)})
 	if now-n.link.at > freshFor {
@@ -411,14 +444,17 @@
 	}
 	for i := range p.look {
 		p.look[i] = at
-		if i > 0 && (i < probeLooks || f.val("peers") > 0) {
+		if i > 0 && at >= 0 && (i < probeLooks || f.val("peers") > 0) {
 			p.look[i] = f.cands[f.rnd.Below(len(f.cands))].at
 		}
-		if now-f.nodes[p.look[i]].link.at > freshFor {
+		if i == looks-1 && f.cold >= 0 && f.val("peers") > 0 || at < 0 {
+			p.look[i] = f.cold
+		}
+		if p.look[i] == f.cold || now-f.nodes[p.look[i]].link.at > freshFor {
 			f.probe(now, p.look[i], 1)
 		}
 	}
-	return f.looking(now, p)
+	return f.looking(now, p) && (f.val("peers") == 0 || now-f.heardAt < heardFor)
 }
 
 // looking tells that a play still waits for what it looked at.
@@ -461,8 +497,10 @@
 // now, and whether to wait as one soon may.
 func (f *Front) choose(now int64, p *ply) (at int, wait bool) {
 	holdUntil := p.taken + int64(holdShare*f.of("product.target", p.want.Product, 0))
+	gathers := f.gathers(p)
 	need := f.rate(p, f.floor(p))
-	f.cands = f.cands[:0]
+	f.cands, f.cold = f.cands[:0], -1
+	cold := 0
 	for _, i := range f.holders(p) {
 		if f.nodes[i].phase != front.Ready {
 			continue
@@ -474,7 +512,13 @@
 				f.probe(now, i, 1)
 			}
 		}
-		if full || now < f.nodes[i].skipUntil || !f.pace(now, i) {
+		paced := f.pace(now, i)
+		if !paced && now >= f.nodes[i].skipUntil {
+			if cold++; f.rnd.Below(cold) == 0 {
+				f.cold = i
+			}
+		}
+		if full || now < f.nodes[i].skipUntil || !paced {
 			wait = wait || now < holdUntil && f.nodes[i].skipUntil < holdUntil
 			continue
 		}
@@ -488,6 +532,7 @@
 		f.prefer(func(c *cand) bool { return c.at != v.left-1 })
 	}
 	f.prefer(func(c *cand) bool { return c.room >= need })
+	f.prefer(func(c *cand) bool { return f.scattered(c.at, p) < gathers })
 	if f.cands[0].room < need { // no room: the least used
 		least := f.cands[0]
 		for _, c := range f.cands {
@@ -527,6 +572,37 @@
 	return f.cands[f.rnd.Below(len(f.cands))].at, false
 }
 
+// gathers is the part of its holders on which the viewers of a live title are gathered, and sets what
+// one more then adds to a link: fronts that draw among all holders would leave little to share. The
+// viewers are taken to be as many at each front; so many nodes are used that they ask gatherPart of them.
+// Guards against streams of one viewer each. It could harm where a title is wanted at few fronts only.
+func (f *Front) gathers(p *ply) float64 {
+	join := f.of("join", 0, 1)
+	if join >= 1 || f.of("product.live", p.want.Product, 0) == 0 || len(f.holders(p)) == 0 {
+		return 1
+	}
+	p.saves, p.joins = 0, false
+	all := max(1, float64(f.viewersOf(p))*f.val("fronts"))
+	nodes, each := float64(len(f.held)), join*f.rate(p, f.top(p))
+	link := f.val("weight.rate")
+	if up := f.val("uplink.rate") * float64(len(f.racks)) / max(1, float64(f.listed)); up > 0 {
+		link = min(link, up)
+	}
+	part := min(1, max(1, all*each/(gatherPart*link))/nodes)
+	if on := all / (part * nodes); on >= joinFrom {
+		p.saves, p.joins = (1-join)*(1-1/on), true
+	}
+	return part
+}
+
+// scattered is a number from 0 to 1 for a node and a title, the same at every front.
+func (f *Front) scattered(at int, p *ply) float64 {
+	x := uint64(f.nodes[at].key)<<32 | uint64(p.want.Key)
+	x = (x ^ x>>31) * 0x9e3779b97f4a7c15
+	x = (x ^ x>>29) * 0xbf58476d1ce4e5b9
+	return float64((x^x>>32)>>11) / (1 << 53)
+}
+
 func (f *Front) ownZone(at int) bool { return f.nodes[at].zone == int(f.of("zone", 0, -1)) }
 
 // full tells that one play more would cost all plays there more than it earns: the link is lately
@@ -549,7 +625,10 @@
 // ---- The account ----
 
 func (f *Front) rate(p *ply, rung int) float64 {
-	return f.of("rung.rate", rung, 0) * f.of("product.rate", p.want.Product, 1)
+	if p.joins {
+		rung = f.top(p)
+	}
+	return f.of("rung.rate", rung, 0) * f.of("product.rate", p.want.Product, 1) * (1 - p.saves)
 }
 
 func (f *Front) capacity(now int64, at int) float64 {
@@ -628,7 +707,10 @@
 // fit is the highest rung that a room takes, within reach.
 func (f *Front) fit(now int64, at int, p *ply, room float64) int {
 	r := f.top(p)
-	for r > f.floor(p) && (f.rate(p, r) > room || !f.inReach(now, at, r, f.rate(p, r))) {
+	if p.joins {
+		return r
+	}
+	for r > f.floor(p) && (f.rate(p, r) > room || !f.inReach(now, at, p, r, f.rate(p, r))) {
 		r--
 	}
 	return r
@@ -637,8 +719,8 @@
 // inReach tells that a play may take a rung that asks so much more of a link: one within reach, or
 // any on a link that stays far behind the average. Guards against nodes of little wanted titles that
 // stand empty while full ones keep the reach low; it could harm where a crowd comes to just these.
-func (f *Front) inReach(now int64, at, rung int, more float64) bool {
-	return rung <= f.reach(now, at) || f.linkAsked(now, at)+more/f.capacity(now, at) <= behind*f.usual
+func (f *Front) inReach(now int64, at int, p *ply, rung int, more float64) bool {
+	return float64(rung) <= f.reach(now, at)+f.lift(p) || f.linkAsked(now, at)+more/f.capacity(now, at) <= behind*f.usual
 }
 
 // reach is the highest rung that a play may start at or step up to. A rung more earns several
@@ -646,11 +728,39 @@
 // fill the links. On a node of which this front knows nothing the reach is the mean itself, rounded:
 // a start too high costs all there and a change of rung, one too low a step up. It could harm where
 // nodes are hardly used and seldom heard of.
-func (f *Front) reach(now int64, at int) int {
+func (f *Front) reach(now int64, at int) float64 {
 	if n := &f.nodes[at]; now-n.link.at > fades && len(n.plays) == 0 {
-		return int(min(100, f.level+blindRungs))
+		return f.level + blindRungs + (closeRungs-blindRungs)*f.trust()
 	}
-	return int(min(100, f.level+rungSpacing))
+	return f.level + rungSpacing + (closeRungs-rungSpacing)*f.trust()
+}
+
+// trust is how far the level is known to be the fleet's, from 0, where it is that of own plays alone, to 1.
+func (f *Front) trust() float64 { return min(1, f.levels/trustOf) }
+
+// lift is how many rungs a play may stand over others for what a step of it earns for its rate. It counts
+// as far as the level is the fleet's: over the mean of a few own plays it would only add to the chance.
+func (f *Front) lift(p *ply) float64 { return f.trust() * f.lifts[p.want.Product] }
+
+// earnings are the lifts of the products around their mean, in rungs: each rung of the ladder divides what
+// a step earns for its rate by about the same, and an importance multiplies it.
+func (f *Front) earnings() []float64 {
+	out, mean, top := make([]float64, len(f.set["product.rate"])), 0.0, len(f.set["rung.rate"])-1
+	earns := func(r int) float64 {
+		return (f.of("rung.worth", r, 0) - f.of("rung.worth", r-1, 0)) / (f.of("rung.rate", r, 0) - f.of("rung.rate", r-1, 0))
+	}
+	if top < 2 || !(earns(1) > earns(top) && earns(top) > 0) {
+		return out // no such ladder: all alike
+	}
+	rung := math.Log(earns(1)/earns(top)) / float64(top-1)
+	for i := range out {
+		out[i] = math.Log(f.of("product.importance", i, 1)/f.of("product.rate", i, 1)) / rung
+		mean += out[i] / float64(len(out))
+	}
+	for i := range out {
+		out[i] -= mean
+	}
+	return out
 }
 
 // report takes in what a node told of its link and uplink so long ago, and tells whether it is news.
@@ -693,7 +803,7 @@
 func (f *Front) keeper(at int) int { return int(f.nodes[at].key) % max(1, int(f.val("fronts"))) }
 
 // tell sends what is known of a node to a front.
-func (f *Front) tell(now int64, to, at int) {
+func (f *Front) tell(now int64, to, at int, kind byte) {
 	n := &f.nodes[at]
 	if f.val("peers") == 0 || to == int(f.val("front")) {
 		return
@@ -705,7 +815,11 @@
 			uplink = pack(r.link.asked)
 		}
 	}
-	f.send(to, figures, n.key, link, uplink, byte(min(255, age/ageUnit)))
+	level := byte(untold)
+	if f.rising {
+		level = byte(max(0, min(untold-1, math.Round((f.mine+levelBase)*levelUnit))))
+	}
+	f.send(to, kind, n.key, link, uplink, byte(min(255, age/ageUnit)), level)
 }
 
 func (f *Front) send(to int, kind byte, key uint32, more ...byte) {
@@ -852,7 +966,7 @@
 	goal := n.own * cutTo / asks
 	for n.own > goal {
 		h, p := f.best(at, func(p *ply) float64 {
-			if p.rung <= f.floor(p) {
+			if p.rung <= f.floor(p) || p.joins {
 				return 0
 			}
 			return f.more(p, p.rung) / f.gain(p, p.rung)
@@ -891,7 +1005,7 @@
 			if p.rung >= f.top(p) || now-p.raised < upEvery || f.more(p, p.rung+1) > room {
 				return 0
 			}
-			if !f.inReach(now, at, p.rung+1, f.more(p, p.rung+1)) {
+			if !p.joins && !f.inReach(now, at, p, p.rung+1, f.more(p, p.rung+1)) {
 				return 0
 			}
 			left := max(leastLeft, now-p.started)
@@ -902,7 +1016,7 @@
 			if gain*float64(left)/float64(sec) <= swapGain*f.val("switch.seconds")*f.importance(p) {
 				return 0
 			}
-			return gain / f.more(p, p.rung+1)
+			return gain / max(1, f.more(p, p.rung+1))
 		})
 		if p == nil {
 			return
@@ -1029,11 +1143,25 @@
 	return int64(age * max(pace-1/f.val("fall.over"), pace/2)), true
 }
 
-// pace tells that this front may set up at a node: always on a warm one, else once in its turn.
+// pace tells that this front may set up at a node: always on a warm one, else once in its turn, or,
+// where fronts tell each other, with the leave of the node's keeper.
 func (f *Front) pace(now int64, at int) bool {
+	n := &f.nodes[at]
 	turn, cold := f.turnOf(now, at)
+	if !cold || f.val("peers") > 0 {
+		return !cold || now < n.leave || f.keeper(at) == int(f.val("front")) && f.mayGive(now, at)
+	}
 	fronts := max(1, int64(f.val("fronts")))
-	return !cold || turn%fronts == int64(f.val("front"))%fronts && turn != f.nodes[at].slot
+	return turn%fronts == int64(f.val("front"))%fronts && turn != n.slot
+}
+
+// mayGive tells that this front, as a cold node's keeper, may give leave for one set-up: one in giveEvery
+// turns, so that fronts that go by turns may have all of theirs beside it within coldMargin. A leave that
+// is lost is a turn not used. A keeper just started gives none: what it gave before is not known.
+func (f *Front) mayGive(now int64, at int) bool {
+	turn, cold := f.turnOf(now, at)
+	return cold && f.nodes[at].phase == front.Ready && turn/giveEvery > f.nodes[at].slot/giveEvery &&
+		now-f.born > int64(f.val("fall.over"))
 }
 
 func (f *Front) seatFree(p *ply) bool {
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -136,7 +136,7 @@
 	f.level = 0
 	f.nodes[0].link = account{now, 0, 0}
 	if r := f.fit(now, 0, &ply{want: want(0)}, 1e9); r != 1 {
-		t.Fatalf("rung %d over plays at 0", r)
+		t.Fatalf("rung %v over plays at 0", r)
 	}
 }
 
@@ -592,11 +592,11 @@
 	f := fleet(2)
 	f.level = 0.8
 	f.nodes[0].link = account{now, 0.1, 0}
-	if known, blind := f.reach(now, 0), f.reach(now, 1); known != 1 || blind != 1 {
+	if known, blind := int(f.reach(now, 0)), int(f.reach(now, 1)); known != 1 || blind != 1 {
 		t.Fatalf("reach %d and %d at a mean of 0.8", known, blind)
 	}
 	f.level = 1.2
-	if known, blind := f.reach(now, 0), f.reach(now, 1); known != 2 || blind != 1 {
+	if known, blind := int(f.reach(now, 0)), int(f.reach(now, 1)); known != 2 || blind != 1 {
 		t.Fatalf("reach %d and %d at a mean of 1.2", known, blind)
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -12,22 +12,31 @@
 	rnd     pcg.Source
 	nodes   []node
 	racks   []rack
+	listed  int     // nodes on the list
 	cells   [][]int // listed nodes by cell
 	kinds   []kind
 	plays   slab.Slab[ply]
 	waiting []front.Handle
 	viewers []viewer
-	seats   []int32 // plays held, by title and product
-	taken   []int64 // when plays were taken, within the budget's window
-	again   []int64 // when further allocations were made, within the same
-	samples int     // |W|
-	usual   float64 // what links are asked on average, over given
-	usualUp float64 // the same of uplinks
-	changes int     // to any account
-	told    bool    // any figure yet
-	level   float64 // mean rung of own plays that could still rise
-	probes  float64 // probes that may be sent now
-	held    []int   // nodes of the last title asked for
+	seats   []int32   // plays held, by title and product
+	taken   []int64   // when plays were taken, within the budget's window
+	again   []int64   // when further allocations were made, within the same
+	samples int       // |W|
+	usual   float64   // what links are asked on average, over given
+	usualUp float64   // the same of uplinks
+	changes int       // to any account
+	told    bool      // any figure yet
+	mine    float64   // the same of own plays alone
+	rising  bool      // there are such plays
+	theirs  float64   // mean of the levels that other fronts told
+	levels  float64   // how many that goes over
+	level   float64   // mean rung of plays that could still rise, less their lift
+	lifts   []float64 // rungs that a product may stand over the others
+	cold    int       // a holder of the last title asked for whose turn it is not, or -1
+	born    int64     // first call
+	heardAt int64     // last message
+	probes  float64   // probes that may be sent now
+	held    []int     // nodes of the last title asked for
 	cands   []cand
 	res     front.Result
 	keys    map[uint32]int // nodes by key
@@ -68,6 +77,7 @@
 	lostAt     int64 // last seen to break
 	backAt     int64 // first play after that
 	slot       int64 // last cold turn used
+	leave      int64 // until when its keeper lets one play be set up on it, cold
 	key        uint32
 }
 
@@ -119,8 +129,10 @@
 	stage   stage
 	node    int
 	rung    int
-	try     int  // number of the last allocation; -1 is none
-	mayHave bool // an earlier allocation may have run
+	joins   bool    // it counts on others' stream, at its best rung
+	saves   float64 // part of its rate that it then does not add to a link
+	try     int     // number of the last allocation; -1 is none
+	mayHave bool    // an earlier allocation may have run
 	taken   int64
 	sent    int64
 	started int64
--- a/front/front.go
+++ b/front/front.go
@@ -40,13 +40,14 @@
 	Product int
 	Title   int
 	Viewer  int
-	Limit   int64 // when the client gives up
-	Length  int64 // guessed length from now; 0 is not told
-	Home    int   // first cell that holds the title
-	Copies  int   // cells in a row that hold it
-	Top     int   // best rung the viewer can use
-	Moved   bool  // back from a move
-	Again   bool  // not the viewer's first try
+	Limit   int64  // when the client gives up
+	Length  int64  // guessed length from now; 0 is not told
+	Home    int    // first cell that holds the title
+	Copies  int    // cells in a row that hold it
+	Top     int    // best rung the viewer can use
+	Key     uint32 // of the title, the same at every front
+	Moved   bool   // back from a move
+	Again   bool   // not the viewer's first try
 }
 
 // Ending is how an allocation ended.
--- a/internal/heath/host.go
+++ b/internal/heath/host.go
@@ -203,6 +203,7 @@
 	w := front.Want{
 		Product: known(in.names.products, "service", ln.text("service")),
 		Title:   number(in.titles, ln.text("asset")),
+		Key:     key(ln.text("asset")),
 		Viewer:  number(in.viewers, ln.text("object")),
 		Limit:   now + ticks(ln.numberOr("left-ms", 0)),
 		Home:    int(ln.numberOr("start-cell", 0)),
