--- a/choice/choice.go
+++ b/choice/choice.go
@@ -75,6 +75,7 @@
 
 	// What fronts tell each other: a node's key and, of figures, what is asked and how old that is.
 	figures   = 'f'
+	shuns     = 's' // the same of a node that refused or failed
 	leave     = 'l' // figures, with the leave to set up one play on a cold node
 	asksFor   = 'a'
 	levelOf   = 20.0     // levels told that their mean goes over, beside the own plays
@@ -198,6 +199,9 @@
 	switch {
 	case was != playing:
 		f.judge(now, at, how)
+		if now < f.nodes[at].skipUntil && how != front.Served {
+			f.tell(now, f.keeper(at), at, shuns)
+		}
 		if was == settingUp && how != front.Served && how != front.NotSent {
 			f.sample(f.nodes[at].kind, -1)
 		}
@@ -273,15 +277,22 @@
 		case !known || !f.nodes[at].listed:
 		case b[0] == asksFor && len(b) == 5:
 			kind := byte(figures)
-			if f.mayGive(now, at) {
+			if now < f.nodes[at].skipUntil {
+				kind = shuns
+			} else if f.mayGive(now, at) {
 				f.nodes[at].slot, _ = f.turnOf(now, at)
 				kind = leave
 			}
 			f.tell(now, from, at, kind)
-		case (b[0] == figures || b[0] == leave) && len(b) == 9:
-			f.nodes[at].probing = false
-			if b[0] == leave {
-				f.nodes[at].leave = f.nodes[at].probedAt + lookFor
+		case len(b) != 9:
+		case b[0] == figures || b[0] == leave || b[0] == shuns:
+			n := &f.nodes[at]
+			n.probing = false
+			switch b[0] {
+			case leave:
+				n.leave = n.probedAt + lookFor
+			case shuns:
+				n.skipUntil = max(n.skipUntil, now+refusedFor)
 			}
 			age := int64(b[7]) * ageUnit
 			if b[8] != untold {
@@ -625,9 +636,6 @@
 // ---- The account ----
 
 func (f *Front) rate(p *ply, rung int) float64 {
-	if p.joins {
-		rung = f.top(p)
-	}
 	return f.of("rung.rate", rung, 0) * f.of("product.rate", p.want.Product, 1) * (1 - p.saves)
 }
 
@@ -963,6 +971,14 @@
 	if asks <= mark || !f.settled(now, n.cutAt) {
 		return
 	}
+	if n.shortFrom > 0 && now-n.shortFrom >= checkGap { // streams step as one: all who joined hear the same
+		for _, h := range n.plays {
+			if p := f.plays.Get(h); p.joins && p.stage == playing && p.rung > f.floor(p) {
+				n.cutAt = now
+				f.setRung(now, h, p, p.rung-1)
+			}
+		}
+	}
 	goal := n.own * cutTo / asks
 	for n.own > goal {
 		h, p := f.best(at, func(p *ply) float64 {
