--- a/choice/choice.go
+++ b/choice/choice.go
@@ -41,7 +41,7 @@
 	blindRungs  = 0.5       // the same on a node of which nothing is known: the mean, rounded
 	closeRungs  = 0.7       // in place of both, where the mean is that of many fronts
 	behind      = 0.7       // of the average asked of links: one under it after a step may exceed the reach
-	swapGain    = 4.0       // a step up must earn this many times its price
+	swapGain    = 3.0       // a step up must earn this many times its price
 	leastLeft   = 20 * sec  // an untold length: as much is left as has played, this at least
 	shortUnder  = 0.98      // share of rate: below it a play loses worth
 	shortHolds  = 1500 * ms // a note of shortage, due each second, counts this long
@@ -61,7 +61,7 @@
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
 	looks       = 4         // holders looked at before a set-up where fronts tell each other
 	probeLooks  = 2         // the same by probes, which have a price
-	heardFor    = 15 * sec  // no message for so long: answers are not waited for
+	heardFor    = 15 * sec  // without any message for so long, answers are not waited for
 	lookFor     = 100 * ms  // a play waits no longer for an answer to its look
 	perPlay     = 0.7       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
@@ -73,18 +73,18 @@
 	coldMargin  = 1.3       // how far under the cold allowance all fronts together stay
 	budgetEdge  = 20 * ms   // kept clear at either end of the budget's window
 
-	// What fronts tell each other: a node's key and, of figures, what is asked and how old that is.
-	figures   = 'f'
-	shuns     = 's' // the same of a node that refused or failed
-	leave     = 'l' // figures, with the leave to set up one play on a cold node
+	// What fronts tell each other: a kind, a node's key, and but for questions what is asked of its link and
+	// its uplink, how old that is, and the level of the plays of who tells.
 	asksFor   = 'a'
-	levelOf   = 20.0     // levels told that their mean goes over, beside the own plays
-	trustOf   = 4.0      // levels told from which the mean is held to be the fleet's
-	levelBase = 4.0      // rungs: the lowest level that can be told is so far below 0
-	levelUnit = 16.0     // steps of a level to a rung
+	figures   = 'f'
+	leave     = 'l'      // figures, and the leave to set up one play on a cold node
 	untold    = 255      // a figure that the teller does not have
 	askedUnit = 64.0     // steps of a figure to 1, up to about 4
 	ageUnit   = 100 * ms // of a figure's age, up to 25 s
+	levelUnit = 16.0     // steps of a level to a rung
+	levelBase = 4.0      // rungs: the lowest level that can be told is so far below 0
+	levelOf   = 20.0     // levels told that their mean goes over, beside own plays
+	trustOf   = 4.0      // levels told from which the mean is held to be the fleet's
 )
 
 // New makes a front from its settings, a map of names to numbers, and a seed.
@@ -199,9 +199,6 @@
 	switch {
 	case was != playing:
 		f.judge(now, at, how)
-		if now < f.nodes[at].skipUntil && how != front.Served {
-			f.tell(now, f.keeper(at), at, shuns)
-		}
 		if was == settingUp && how != front.Served && how != front.NotSent {
 			f.sample(f.nodes[at].kind, -1)
 		}
@@ -267,42 +264,41 @@
 	return f.end(now)
 }
 
-// Heard takes in a message of another front: a node's figure, or a question for one.
+// Heard takes in a message of another front: a node's figures, or a question for them. A message says
+// nothing of a node that this front's own list lacks, and its figures count by their age.
 func (f *Front) Heard(now int64, from int, b []byte) *front.Result {
 	f.begin()
+	if !f.tells() || from < 0 || from >= int(f.val("fronts")) || len(b) < 5 {
+		return f.end(now)
+	}
 	f.heardAt = now
-	if len(b) >= 5 && f.val("peers") > 0 && from >= 0 && from < int(f.val("fronts")) {
-		at, known := f.keys[binary.BigEndian.Uint32(b[1:])]
-		switch {
-		case !known || !f.nodes[at].listed:
-		case b[0] == asksFor && len(b) == 5:
-			kind := byte(figures)
-			if now < f.nodes[at].skipUntil {
-				kind = shuns
-			} else if f.mayGive(now, at) {
-				f.nodes[at].slot, _ = f.turnOf(now, at)
-				kind = leave
-			}
-			f.tell(now, from, at, kind)
-		case len(b) != 9:
-		case b[0] == figures || b[0] == leave || b[0] == shuns:
-			n := &f.nodes[at]
-			n.probing = false
-			switch b[0] {
-			case leave:
-				n.leave = n.probedAt + lookFor
-			case shuns:
-				n.skipUntil = max(n.skipUntil, now+refusedFor)
-			}
-			age := int64(b[7]) * ageUnit
-			if b[8] != untold {
-				f.levels = min(f.levels+1, levelOf)
-				f.theirs += (float64(b[8])/levelUnit - levelBase - f.theirs) / f.levels
-			}
-			f.report(now, at, front.Load{Streams: -1, Link: unpack(b[5]), Uplink: unpack(b[6])}, reportLag+age, age)
+	at, known := f.keys[binary.BigEndian.Uint32(b[1:])]
+	if !known || !f.nodes[at].listed {
+		return f.end(now)
+	}
+	n := &f.nodes[at]
+	switch {
+	case b[0] == asksFor && len(b) == 5:
+		kind := byte(figures)
+		if f.mayGive(now, at) {
+			n.slot, _ = f.turnOf(now, at)
+			kind = leave
+		}
+		f.tell(now, from, at, kind)
+	case (b[0] == figures || b[0] == leave) && len(b) == 9:
+		n.probing = false
+		if b[0] == leave {
+			n.leave = n.probedAt + lookFor
+		}
+		if b[8] != untold {
+			f.levels = min(f.levels+1, levelOf)
+			f.theirs += (float64(b[8])/levelUnit - levelBase - f.theirs) / f.levels
+		}
+		age := int64(b[7]) * ageUnit
+		if f.report(now, at, front.Load{Streams: -1, Link: unpack(b[5]), Uplink: unpack(b[6])}, reportLag+age, age) {
 			f.resetSetUps(now, at)
-			f.placeWaiting(now, false)
 		}
+		f.placeWaiting(now, false)
 	}
 	return f.end(now)
 }
@@ -383,9 +379,12 @@
 		return true
 	}
 	n := &f.nodes[at] // viewers who left it may pass over its number for skipFor
-	if n.listed || n.probing && f.val("peers") == 0 || len(n.plays) > 0 || now-n.unlistedAt < skipFor {
+	if n.listed || n.probing && !f.tells() || len(n.plays) > 0 || now-n.unlistedAt < skipFor {
 		return false
 	}
+	if f.keys[n.key] == at {
+		delete(f.keys, n.key)
+	}
 	*n = unheard
 	return true
 }
@@ -416,7 +415,7 @@
 	at, wait := -1, false
 	if p.try+1 < int(f.val("tries")) && now < p.want.Limit && f.seatFree(p) && f.mayAgain(now, p) {
 		at, wait = f.choose(now, p)
-		if !p.looked && (at >= 0 || f.cold >= 0) {
+		if !p.looked && (at >= 0 || f.cold >= 0 && f.tells()) {
 			p.looked = true
 			if f.look(now, p, at) {
 				f.waiting = append(f.waiting, h)
@@ -446,26 +445,27 @@
 	}
 }
 
-// look probes the holder chosen and one of its equals drawn at random, where their figures are old,
-// and tells that an answer is to come: the play is placed by it. Guards against blind set-ups and
-// against nodes that died unlisted; it costs a probe more, and harms where reports are very late.
+// look asks for the holder chosen and for equals drawn at random where their figures are old, one by a
+// probe or some of their keepers, and there for the leave to use a cold holder. It tells that an answer
+// is to come: the play is placed by it. Guards against blind set-ups and against nodes that died
+// unlisted; it costs a probe or messages, and harms where reports are very late.
 func (f *Front) look(now int64, p *ply, at int) bool {
-	if !f.asks() && f.val("peers") == 0 || p.want.Limit-now <= 2*wakeEvery { // the next check may be too late
+	if !f.asks() && !f.tells() || p.want.Limit-now <= 2*wakeEvery { // the next check may be too late
 		return false
 	}
 	for i := range p.look {
 		p.look[i] = at
-		if i > 0 && at >= 0 && (i < probeLooks || f.val("peers") > 0) {
-			p.look[i] = f.cands[f.rnd.Below(len(f.cands))].at
-		}
-		if i == looks-1 && f.cold >= 0 && f.val("peers") > 0 || at < 0 {
+		switch {
+		case at < 0 || i == looks-1 && f.cold >= 0 && f.tells():
 			p.look[i] = f.cold
+		case i > 0 && (i < probeLooks || f.tells()):
+			p.look[i] = f.cands[f.rnd.Below(len(f.cands))].at
 		}
 		if p.look[i] == f.cold || now-f.nodes[p.look[i]].link.at > freshFor {
 			f.probe(now, p.look[i], 1)
 		}
 	}
-	return f.looking(now, p) && (f.val("peers") == 0 || now-f.heardAt < heardFor)
+	return f.looking(now, p) && (!f.tells() || now-f.heardAt < heardFor)
 }
 
 // looking tells that a play still waits for what it looked at.
@@ -544,6 +544,9 @@
 	}
 	f.prefer(func(c *cand) bool { return c.room >= need })
 	f.prefer(func(c *cand) bool { return f.scattered(c.at, p) < gathers })
+	if f.tells() { // what was looked at, not what is only supposed
+		f.prefer(func(c *cand) bool { return c.room >= need && now-f.nodes[c.at].link.at <= fullFor })
+	}
 	if f.cands[0].room < need { // no room: the least used
 		least := f.cands[0]
 		for _, c := range f.cands {
@@ -636,6 +639,9 @@
 // ---- The account ----
 
 func (f *Front) rate(p *ply, rung int) float64 {
+	if p.joins {
+		rung = f.top(p)
+	}
 	return f.of("rung.rate", rung, 0) * f.of("product.rate", p.want.Product, 1) * (1 - p.saves)
 }
 
@@ -807,13 +813,16 @@
 	}
 }
 
+// tells tells that fronts may send each other messages.
+func (f *Front) tells() bool { return f.val("peers") > 0 }
+
 // keeper is the front that keeps a node's figures for all, the same for every front.
 func (f *Front) keeper(at int) int { return int(f.nodes[at].key) % max(1, int(f.val("fronts"))) }
 
 // tell sends what is known of a node to a front.
 func (f *Front) tell(now int64, to, at int, kind byte) {
 	n := &f.nodes[at]
-	if f.val("peers") == 0 || to == int(f.val("front")) {
+	if !f.tells() || to == int(f.val("front")) {
 		return
 	}
 	link, uplink, age := byte(untold), byte(untold), now-n.link.at
@@ -858,7 +867,7 @@
 		return
 	}
 	switch {
-	case f.val("peers") > 0:
+	case f.tells():
 		if to == int(f.val("front")) {
 			return
 		}
@@ -971,18 +980,10 @@
 	if asks <= mark || !f.settled(now, n.cutAt) {
 		return
 	}
-	if n.shortFrom > 0 && now-n.shortFrom >= checkGap { // streams step as one: all who joined hear the same
-		for _, h := range n.plays {
-			if p := f.plays.Get(h); p.joins && p.stage == playing && p.rung > f.floor(p) {
-				n.cutAt = now
-				f.setRung(now, h, p, p.rung-1)
-			}
-		}
-	}
 	goal := n.own * cutTo / asks
 	for n.own > goal {
 		h, p := f.best(at, func(p *ply) float64 {
-			if p.rung <= f.floor(p) || p.joins {
+			if p.rung <= f.floor(p) {
 				return 0
 			}
 			return f.more(p, p.rung) / f.gain(p, p.rung)
@@ -1164,7 +1165,7 @@
 func (f *Front) pace(now int64, at int) bool {
 	n := &f.nodes[at]
 	turn, cold := f.turnOf(now, at)
-	if !cold || f.val("peers") > 0 {
+	if !cold || f.tells() {
 		return !cold || now < n.leave || f.keeper(at) == int(f.val("front")) && f.mayGive(now, at)
 	}
 	fronts := max(1, int64(f.val("fronts")))
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -628,3 +628,221 @@
 		t.Fatalf("got %+v", r)
 	}
 }
+
+// telling lets fronts message each other; node i has key i+10, so that front (i+10)%2 of two keeps it.
+func telling(set map[string][]float64) { set["peers"] = []float64{1} }
+
+func keyed(f *Front) *Front {
+	for i := range f.nodes {
+		f.nodes[i].key = uint32(i + 10)
+		f.keys[uint32(i+10)] = i
+	}
+	f.heardAt = now
+	return f
+}
+
+// says is a message with figures: what is asked of a link, by 64ths, and its age in tenths of a second.
+func says(kind byte, key uint32, link, age, level byte) []byte {
+	return []byte{kind, 0, 0, 0, byte(key), link, untold, age, level}
+}
+
+func TestAsksKeepersBeforeASetUpAndGoesByTheirWord(t *testing.T) {
+	f := keyed(fleet(4, telling))
+	h, r := f.Take(now, want(0))
+	if len(r.Orders) != 0 || len(r.Probes) != 0 || len(r.Tells) == 0 {
+		t.Fatalf("want questions before an order, got %+v", r)
+	}
+	for _, m := range r.Tells {
+		if m.To != 1 || m.Bytes[0] != asksFor || m.Bytes[4]%2 != 1 {
+			t.Fatalf("asked %d: %v", m.To, m.Bytes)
+		}
+	}
+	for at := range f.nodes { // node 1 is nearly empty, the others nearly full
+		asked := byte(52)
+		if at == 1 {
+			asked = 13
+		}
+		f.Heard(now+10*ms, 1, says(figures, uint32(at+10), asked, 0, untold))
+	}
+	if p := f.plays.Get(h); p.stage != settingUp || p.node != 1 {
+		t.Fatalf("stage %d, node %d", p.stage, p.node)
+	}
+}
+
+func TestLostAnswersLeaveThePlayPlaced(t *testing.T) {
+	f := keyed(fleet(2, telling))
+	h, r := f.Take(now, want(0))
+	if r.Wake > now+lookFor {
+		t.Fatalf("asks to be woken %d after", r.Wake-now)
+	}
+	f.Wake(now + lookFor)
+	if p := f.plays.Get(h); p.stage != settingUp {
+		t.Fatal("still waits for an answer that was lost")
+	}
+	f = keyed(fleet(2, telling))
+	f.heardAt = now - heardFor
+	if _, r = f.Take(now, want(0)); count(r, front.Place) != 1 {
+		t.Fatal("waits for answers though no message came for long")
+	}
+}
+
+func TestMessagesSayNothingOfUnlistedNodesNorOlderThings(t *testing.T) {
+	f := keyed(fleet(2, telling))
+	f.nodes[0].link = account{now - 2*sec, 0.5, 0}
+	f.Heard(now, 1, says(figures, 10, 64, 30, untold)) // 3 s old, ours is younger
+	if f.nodes[0].link.asked != 0.5 {
+		t.Fatal("an older figure took the place of a younger one")
+	}
+	f.Heard(now, 1, says(figures, 10, 64, 10, untold))
+	if n := f.nodes[0]; n.link.asked != 1 || n.link.at != now-sec {
+		t.Fatalf("got %+v", n.link)
+	}
+	if r := f.Heard(now, 1, []byte{asksFor, 0, 0, 0, 99}); len(r.Tells) != 0 {
+		t.Fatal("answered for a node that is not on the list")
+	}
+	if r := f.Heard(now, 2, []byte{asksFor, 0, 0, 0, 10}); len(r.Tells) != 0 {
+		t.Fatal("answered a front that there is not")
+	}
+	f.Nodes(now, []front.Node{{Index: 0, Phase: front.Gone, Weight: 1, Key: 10}}, false)
+	if r := f.Heard(now, 1, []byte{asksFor, 0, 0, 0, 10}); len(r.Tells) != 0 {
+		t.Fatal("answered for a node that is gone")
+	}
+}
+
+func FuzzHeard(f *testing.F) {
+	f.Add(0, []byte{asksFor, 0, 0, 0, 10})
+	f.Add(1, says(leave, 11, 70, 3, 90))
+	f.Fuzz(func(t *testing.T, from int, b []byte) {
+		g := keyed(fleet(3, telling))
+		h, _ := g.Take(now, want(0))
+		for i := range int64(3) {
+			if r := g.Heard(now+i*ms, from, b); len(r.Orders) > 1 {
+				t.Fatalf("%v ordered %+v", b, r.Orders)
+			}
+		}
+		if a := g.linkAsked(now+sec, 1); math.IsNaN(a) || a < 0 || a > 5 {
+			t.Fatalf("%v made a link asked %v", b, a)
+		}
+		g.Wake(now + sec)
+		if p := g.plays.Get(h); p == nil || p.stage != settingUp {
+			t.Fatalf("%v kept a play from its place", b)
+		}
+	})
+}
+
+func TestKeeperGivesLeaveForAQuarterOfTheTurns(t *testing.T) {
+	f := keyed(fleet(1, telling, func(s map[string][]float64) { s["fronts"] = []float64{300} }))
+	f.born = now - 20*sec
+	f.nodes[0].started, f.nodes[0].slot = now, -1
+	over, given, most := int64(f.val("fall.over")), []int64{}, 0
+	for at := int64(now); at < now+12*sec; at += 100 { // all fronts ask all the time
+		if r := f.Heard(at, 1+int(at/100)%299, []byte{asksFor, 0, 0, 0, 10}); r.Tells[0].Bytes[0] == leave {
+			given = append(given, at)
+		}
+		given = since(given, at-over)
+		most = max(most, len(given))
+	}
+	// 2.5 times 20 streams in 12 s at 0.4 or more: 1.7 in the first second, 4.2 in the last; a quarter of it.
+	if turn, _ := f.turnOf(now+12*sec-1, 0); most > 1 || f.nodes[0].slot < turn/2 {
+		t.Fatalf("%d leaves in one window, up to turn %d of %d", most, f.nodes[0].slot, turn)
+	}
+	g := keyed(fleet(1, telling))
+	g.nodes[0].started, g.nodes[0].slot, g.born = now-6*sec, -1, now
+	if r := g.Heard(now+over, 1, []byte{asksFor, 0, 0, 0, 10}); r.Tells[0].Bytes[0] == leave {
+		t.Fatal("a keeper just started gave leave")
+	}
+}
+
+func TestLeaveLetsOnePlayOntoAColdNodeInTime(t *testing.T) {
+	f := keyed(fleet(2, telling))
+	n := &f.nodes[1] // kept by front 1
+	n.started, n.probedAt = now-5*sec, now
+	if f.pace(now, 1) {
+		t.Fatal("used a cold node without leave")
+	}
+	f.Heard(now+10*ms, 1, says(leave, 11, 0, 0, untold))
+	if !f.pace(now+lookFor-1, 1) || f.pace(now+lookFor, 1) {
+		t.Fatal("a leave holds for lookFor since it was asked for")
+	}
+	f.nodes[0].phase = front.Draining
+	if _, r := f.Take(now+20*ms, want(0)); count(r, front.Place) != 1 {
+		t.Fatalf("got %+v", r.Orders)
+	}
+	if f.pace(now+30*ms, 1) {
+		t.Fatal("one leave, two set-ups")
+	}
+}
+
+func TestToldLevelsLiftWhatEarnsMore(t *testing.T) {
+	f := keyed(fleet(1, telling, func(s map[string][]float64) { s["rung.worth"] = []float64{0.3, 0.6, 0.9} }))
+	plain, dear := &ply{want: want(0)}, &ply{want: want(1)} // of importance 1 and 2: ln 2 / ln 2 rungs apart
+	if f.lift(dear) != 0 {
+		t.Fatal("lifted over the mean of own plays alone")
+	}
+	for range int(trustOf) {
+		f.Heard(now, 1, says(figures, 10, 0, 0, byte((1.5+levelBase)*levelUnit)))
+	}
+	f.Wake(now)
+	if math.Abs(f.level-1.5) > 1e-9 || math.Abs(f.lift(dear)-f.lift(plain)-1) > 1e-9 {
+		t.Fatalf("level %v, lifts %v and %v", f.level, f.lift(plain), f.lift(dear))
+	}
+}
+
+func live(set map[string][]float64) {
+	set["product.live"], set["join"], set["fronts"] = []float64{1, 0}, []float64{0.3}, []float64{100}
+	set["cells"], set["racks"] = []float64{200}, []float64{20}
+}
+
+func TestFrontsGatherTheViewersOfALiveTitleAlike(t *testing.T) {
+	met := map[int]bool{}
+	for seed := range 60 {
+		f := keyed(fleet(200, live))
+		f.rnd.Float()
+		for range seed {
+			f.rnd.Float()
+		}
+		w := want(0)
+		w.Copies, w.Key = 200, 77
+		h, _ := f.Take(now, w)
+		p := f.plays.Get(h)
+		// 100 viewers that add 120 each on links of 1000: gathered at half a link, 24 of 200 nodes.
+		if !p.joins || p.rung != 2 || f.rate(p, 2) > 200 {
+			t.Fatalf("joins %v, rung %d, adds %v", p.joins, p.rung, f.rate(p, 2))
+		}
+		met[p.node] = true
+	}
+	if len(met) > 40 {
+		t.Fatalf("60 fronts used %d of 200 nodes", len(met))
+	}
+	f := keyed(fleet(200, live))
+	w := want(1) // of a product that is not live
+	w.Copies, w.Key = 200, 77
+	h, _ := f.Take(now, w)
+	if p := f.plays.Get(h); p.joins || f.rate(p, 2) != 400 {
+		t.Fatal("gathered a play that is not live")
+	}
+}
+
+func TestJoinersKeepTheirRungWhenOthersAreCut(t *testing.T) {
+	f := fleet(1, alone)
+	a, _ := playingAt(f, 0, 0, 2, 0)
+	_, other := playingAt(f, 0, 0, 2, 0)
+	joiner := f.plays.Get(a)
+	joiner.joins = true
+	f.begin()
+	f.cut(now, 0, 2, overMark)
+	if joiner.rung != 2 || other.rung == 2 {
+		t.Fatalf("rungs %d and %d", joiner.rung, other.rung)
+	}
+}
+
+func TestKnownHoldersComeBeforeSupposedOnes(t *testing.T) {
+	f := keyed(fleet(4, telling))
+	f.samples, f.usual = 1<<40, 0.2
+	f.nodes[2].link = account{now, 0.4, 0}
+	for range 50 {
+		if at, _ := f.choose(now, &ply{want: want(0), try: -1}); at != 2 {
+			t.Fatalf("took node %d, of which nothing is known", at)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -74,11 +74,11 @@
 	probing    bool
 	strikes    int // failures or refusals in a row
 	skipUntil  int64
-	lostAt     int64 // last seen to break
-	backAt     int64 // first play after that
-	slot       int64 // last cold turn used
-	leave      int64 // until when its keeper lets one play be set up on it, cold
-	key        uint32
+	lostAt     int64  // last seen to break
+	backAt     int64  // first play after that
+	slot       int64  // last cold turn used
+	key        uint32 // the same at every front
+	leave      int64  // until when its keeper lets one play be set up on it, cold
 }
 
 // rack is a rack and its uplink.
--- a/internal/heath/terms.go
+++ b/internal/heath/terms.go
@@ -20,9 +20,7 @@
 	{"family-info.see-ms", "note.lag", false},
 	{"family-info.switch-s", "switch.seconds", false},
 	{"family-info.is-live", "product.live", false}, {"family-info.join-adds", "join", false},
-	{"over-share-worth", "tenant.over", false},
 	{"limits.peer-messages", "peers", false},
-	{"tariffs.moves", "price.move", false}, {"tariffs.cross-zone", "price.cross", false},
 	{"limits.most-tries", "tries", true}, {"limits.probing", "probing", false},
 	{"limits.retry-after", "comeback", false}, {"limits.max-retry-after-ms", "comeback.most", false},
 	{"limits.cancel", "recall", false},
@@ -41,7 +39,6 @@
 // names are the wire's names that become small numbers.
 type names struct {
 	products, kinds, zones map[string]int
-	tenants                map[string]int
 	columns                []string
 }
 
@@ -130,7 +127,7 @@
 	if len(lanes) == 0 {
 		return nil, names{}, fieldError{"config.lanes", "missing"}
 	}
-	nm := names{products: map[string]int{}, tenants: map[string]int{}}
+	nm := names{products: map[string]int{}}
 	for i, l := range lanes {
 		lane, _ := l.(map[string]any)
 		name, _ := lane["name"].(string)
@@ -155,17 +152,6 @@
 	if rates := out["product.rate"]; len(rates) != len(lanes) {
 		return nil, names{}, fieldError{"config.family-info.rate-factor", "not one value for each lane"}
 	}
-	parties, _ := root["parties"].([]any)
-	for i, t := range parties {
-		party, _ := t.(map[string]any)
-		name, _ := party["name"].(string)
-		quota, ok := party["quota-per-s"].(float64)
-		if name == "" || !ok {
-			return nil, names{}, fieldError{fmt.Sprintf("config.parties[%d]", i), "without a name or a quota-per-s"}
-		}
-		nm.tenants[name] = i
-		out["tenant.quota"] = append(out["tenant.quota"], quota)
-	}
 	var err error
 	if nm.kinds, err = index(root, "shapes"); err != nil {
 		return nil, names{}, err
