--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
 	"testing"
 )
@@ -76,6 +77,65 @@
 	}
 }
 
+// beforeMove is what the settings in good gave the module before live titles and messages were known.
+var beforeMove = map[string][]float64{
+	"fronts": {2}, "front": {0}, "cells": {4}, "racks": {2}, "rung.rate": {100, 200}, "rung.worth": {0.5, 1}, "weight.rate": {1000},
+	"uplink.rate": {0}, "reports.uplink": {0}, "note.lag": {10000}, "switch.seconds": {0}, "tries": {4}, "probing": {1}, "recall": {1},
+	"comeback": {1}, "comeback.most": {10000}, "cold.share": {0.4}, "cold.lasts": {100000}, "fall.multiple": {2}, "fall.over": {10000},
+	"kind.streams": {10}, "zone": {0}, "product.rate": {1}, "product.paid": {0}, "product.floor": {0}, "product.top": {1},
+	"product.seats": {0}, "product.importance": {1}, "product.target": {10000},
+}
+
+func TestSettingsFromBeforeTheMoveGiveTheModuleTheSame(t *testing.T) {
+	f, err := ParseFront("f.jsonc", []byte(good))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := f.Terms(); !reflect.DeepEqual(got, beforeMove) {
+		t.Fatalf("got %v", got)
+	}
+}
+
+const peers = `"listen": "127.0.0.1:0", "peers": {"listen": "127.0.0.1:0", "fronts": ["127.0.0.1:1", "127.0.0.1:2"],
+    "secret": "AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA="}}`
+
+// moved are the settings of good with live titles and messages.
+var moved = strings.NewReplacer(`"listen": "127.0.0.1:0"}`, peers, `"fronts": 2`, `"fronts": 2, "join_adds": 0.3`,
+	`"limit_ms": 4000`, `"limit_ms": 4000, "live": true`).Replace(good)
+
+func TestSettingsOfTheNewShapeReachTheModule(t *testing.T) {
+	f, err := ParseFront("f.jsonc", []byte(moved))
+	if err != nil {
+		t.Fatal(err)
+	}
+	terms := f.Terms()
+	for name, want := range map[string]float64{"peers": 1, "join": 0.3, "product.live": 1} {
+		if v := terms[name]; len(v) != 1 || v[0] != want {
+			t.Errorf("%s is %v", name, v)
+		}
+	}
+	if len(f.Peers.Fronts) != 2 || len(f.Peers.Secret) != 32 {
+		t.Fatalf("%+v", f.Peers)
+	}
+	for _, c := range []struct{ old, new, want string }{
+		{`"join_adds": 0.3`, `"join_adds": 0`, "f.jsonc:7: service.join_adds: a number from 0.001 to 1 is needed here"},
+		{`"join_adds": 0.3`, `"join_adds": "0.3"`, "f.jsonc:7: service.join_adds: a number from 0.001 to 1 is needed here"},
+		{`"live": true`, `"live": 1`, "f.jsonc:9: service.products[0].live: true or false is needed here"},
+		{`["127.0.0.1:1", "127.0.0.1:2"]`, `["127.0.0.1:1"]`, "f.jsonc:2: front.peers.fronts: 1 addresses for 2 fronts"},
+		{`["127.0.0.1:1", "127.0.0.1:2"]`, `["127.0.0.1:1", "x"]`, `f.jsonc:2: front.peers.fronts[1]: "x" is not host:port`},
+		{`"secret": "AAAAAAAA`, `"secret": "AA`, "f.jsonc:3: front.peers.secret: 32 bytes in base64 are needed here"},
+		{`"secret"`, `"key"`, "f.jsonc:3: front.peers.key: no such field"},
+	} {
+		text := strings.Replace(moved, c.old, c.new, 1)
+		if text == moved {
+			t.Fatalf("%q is not in the settings", c.old)
+		}
+		if _, err := ParseFront("f.jsonc", []byte(text)); err == nil || !strings.Contains("\n"+err.Error(), "\n"+c.want) {
+			t.Errorf("%q:\n got %v\nwant %s", c.new, err, c.want)
+		}
+	}
+}
+
 func TestAllMistakesInOneRun(t *testing.T) {
 	text := strings.NewReplacer(`"name": "f0"`, `"name": 1`, `"cells": 4`, `"cells": 0`, `"streams": 10`, `"streams": -1`).Replace(good)
 	_, err := ParseFront("f.jsonc", []byte(text))
--- a/conf/service.go
+++ b/conf/service.go
@@ -17,6 +17,7 @@
 	Paid       bool    // set up at most once
 	Floor      int     // lowest rung
 	Top        int     // highest rung
+	Live       bool    // its titles are live: viewers may share a stream
 	Seats      int     // plays of one title that a front holds at most; 0 is no cap
 }
 
@@ -46,7 +47,8 @@
 	Reports   string // how nodes tell their load: probe, answers or none
 	Uplinks   bool   // reports tell the uplink too
 	NoteLagMs float64
-	Tries     int // allocations of one play at most
+	JoinAdds  float64 // part of its rate that a further viewer of a live stream adds; 1 is nothing shared
+	Tries     int     // allocations of one play at most
 
 	ColdShare, ColdLastsMs, FallMultiple, FallOverMs, DrainGraceMs float64
 
@@ -74,7 +76,8 @@
 		SwitchS:   v.At("switch_s").NumberOr(0, 0, 3600), Cells: v.At("cells").Whole(1, 1<<20),
 		Racks: v.At("racks").Whole(1, 1<<20), WeightKB: v.At("link_kb").Number(0.001, mostNumber),
 		UplinkKB: v.At("uplink_kb").NumberOr(0, 0, mostNumber), Fronts: v.At("fronts").Whole(1, 1<<20),
-		Tries: v.At("tries").WholeOr(4, 1, 100), ComeBackMostMs: v.At("come_back_ms").NumberOr(1000, 0, mostMs)}
+		Tries: v.At("tries").WholeOr(4, 1, 100), ComeBackMostMs: v.At("come_back_ms").NumberOr(1000, 0, mostMs),
+		JoinAdds: v.At("join_adds").NumberOr(1, 0.001, 1)}
 	if len(s.Worth) != len(s.RatesKB) {
 		v.At("worth").Wrong("%d rungs have a worth, %d a rate", len(s.Worth), len(s.RatesKB))
 	}
@@ -134,6 +137,7 @@
 		TargetMs: e.At("target_ms").Number(1, mostMs), LimitMs: e.At("limit_ms").Number(1, mostMs),
 		Rate: e.At("rate").NumberOr(1, 0.001, 1000), Paid: e.At("paid").BoolOr(false),
 		Floor: e.At("floor").WholeOr(0, 0, max(0, rungs-1)), Top: e.At("top").WholeOr(max(0, rungs-1), 0, max(0, rungs-1)),
+		Live:  e.At("live").BoolOr(false),
 		Seats: e.At("seats").WholeOr(0, 0, 1<<20)}
 	if p.Top < p.Floor {
 		e.At("top").Wrong("lies under the floor")
@@ -175,6 +179,9 @@
 		out["budget.free"], out["budget.share"] = one(s.BudgetFree), one(s.BudgetShare)
 		out["budget.over"] = one(s.BudgetOverMs * 10)
 	}
+	if s.JoinAdds < 1 {
+		out["join"] = one(s.JoinAdds)
+	}
 	for _, k := range s.Kinds {
 		out["kind.streams"] = append(out["kind.streams"], float64(k.Streams))
 	}
@@ -192,6 +199,9 @@
 		add("seats", float64(p.Seats))
 		add("importance", p.Importance)
 		add("target", p.TargetMs*10)
+		if s.JoinAdds < 1 { // else nothing is shared, and the module's settings stay as they were
+			add("live", yes(p.Live)[0])
+		}
 	}
 	return out
 }
@@ -257,9 +267,26 @@
 	EndMs   float64 // an orderly end takes no longer
 	Retire  bool    // at its end it lets its plays go, as nobody takes its place
 	Keys    []Key
+	Peers   Peers
 	Service Service
 }
 
+// Peers is how a front reaches the others for messages; without a listening address it sends and hears none.
+type Peers struct {
+	Listen string   // host:port, UDP
+	Fronts []string // host:port of each front, by its number
+	Secret []byte   // 32 bytes that all fronts share
+}
+
+// Terms is the map of settings that the module of this front reads.
+func (f *Front) Terms() map[string][]float64 {
+	out := f.Service.Terms(f.Number, f.Zone)
+	if f.Peers.Listen != "" {
+		out["peers"] = []float64{1}
+	}
+	return out
+}
+
 // Key is a key of session tokens. Only the signing one needs its seed.
 type Key struct {
 	ID     string
@@ -312,6 +339,9 @@
 		f.NodesCA = t.At("ca").Text()
 		t.Done()
 	}
+	if p := e.At("peers"); p.Given() {
+		f.Peers = readPeers(p, f.Service.Fronts)
+	}
 	e.Done()
 	l := v.At("list").Object(true)
 	f.ListURL = l.At("url").Text()
@@ -324,6 +354,26 @@
 	return f, doc.Err()
 }
 
+func readPeers(v Value, fronts int) Peers {
+	v.Object(true)
+	p := Peers{Listen: Address(v.At("listen"))}
+	list := v.At("fronts")
+	for _, e := range list.List(true) {
+		p.Fronts = append(p.Fronts, Address(e))
+	}
+	if len(p.Fronts) != fronts {
+		list.Wrong("%d addresses for %d fronts", len(p.Fronts), fronts)
+	}
+	secret := v.At("secret")
+	b, err := base64.StdEncoding.DecodeString(secret.Text())
+	if err != nil || len(b) != 32 {
+		secret.Wrong("32 bytes in base64 are needed here")
+	}
+	p.Secret = b
+	v.Done()
+	return p
+}
+
 func orOne(s []string) []string {
 	if len(s) == 0 {
 		return []string{""}
--- a/front/front.go
+++ b/front/front.go
@@ -8,6 +8,15 @@
 	Second       = 1000 * Ms
 )
 
+// Key is a name's number that all fronts work out alike, for Node.Key and Want.Key. Two names may share one.
+func Key(name string) uint32 {
+	h := uint32(2166136261) // FNV-1a
+	for i := range len(name) {
+		h = (h ^ uint32(name[i])) * 16777619
+	}
+	return h
+}
+
 // Handle names a play in hand: a place and its generation. The zero Handle names nobody.
 type Handle struct {
 	Place int32
--- a/internal/heath/heath_test.go
+++ b/internal/heath/heath_test.go
@@ -68,6 +68,47 @@
 	}
 }
 
+// talking is a spawn of one of two instances that may message each other, and a list of ten nodes, of which
+// the other instance keeps some.
+func talking() string {
+	c := strings.NewReplacer(`"balancers":1`, `"balancers":2`, `"limits":{`, `"limits":{"peer-messages":true,`).Replace(config)
+	out := "TO who=0\nSPAWN random-seed=1 config=" + c + "\nDEFINE_LIST page=0 records=10\n"
+	for i := range 10 {
+		out += strings.Replace(rowA, "1.1.1.1:1", "1.1.1.1:"+string(rune('0'+i)), 1)
+	}
+	return out + "ANNOUNCE page=0 index=1 how=restored\n"
+}
+
+func TestMessagesBetweenInstances(t *testing.T) {
+	const told = "FROM_PEER by=1 bytes=" // a message of no meaning: it only shows that others are there
+	out, err := run(mark("1", talking()+told+"aGVsbG8=\n"+incoming))
+	if err != nil || !strings.Contains(out, "NOTIFY dst=1 bytes=") || strings.Contains(out, "FORWARD") {
+		t.Fatalf("want a question before a set-up: %v\n%s", err, out)
+	}
+	if out, err = run(mark("1", talking()+told+"-\n")); err != nil || strings.Contains(out, "BAIL_OUT") {
+		t.Fatalf("an empty message: %v\n%s", err, out)
+	}
+	if _, err = run(mark("1", talking()+told+"%%\n")); err == nil || !strings.Contains(err.Error(), "FROM_PEER: field bytes: not base64") {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestSettingsOfLiveTitlesMessagesAndReports(t *testing.T) {
+	set, _, err := terms(strings.NewReplacer(`"limits":{`, `"limits":{"peer-messages":true,`, `"report":{`, `"report":{"how":"piggyback",`,
+		`"rate-factor":[1]`, `"rate-factor":[1],"is-live":[true],"join-adds":0.3`).Replace(config))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]float64{"peers": 1, "reports.answers": 1, "product.live": 1, "join": 0.3} {
+		if v := set[name]; len(v) != 1 || v[0] != want {
+			t.Errorf("%s is %v", name, v)
+		}
+	}
+	if set, _, _ := terms(config); set["reports.answers"][0] != 0 || set["peers"] != nil || set["join"] != nil {
+		t.Errorf("not given, yet there: %v", set)
+	}
+}
+
 func TestPanicOfADecisionIsReported(t *testing.T) {
 	var out strings.Builder
 	h := &host{out: bufio.NewWriter(&out), inBatch: true, last: -1, at: map[int64]*instance{
--- a/internal/heath/host.go
+++ b/internal/heath/host.go
@@ -4,8 +4,6 @@
 	"bufio"
 	"encoding/base64"
 	"fmt"
-	"hash/fnv"
-	"io"
 	"os"
 	"runtime/debug"
 	"strconv"
@@ -190,20 +188,13 @@
 	return n
 }
 
-// key is the same at every instance for the same address.
-func key(addr string) uint32 {
-	h := fnv.New32a()
-	io.WriteString(h, addr)
-	return h.Sum32()
-}
-
 // want reads what INCOMING and EXISTING say of a viewer.
 func (in *instance) want(ln *line, now int64) front.Want {
 	bits := ln.wholeOr("bits", 0)
 	w := front.Want{
 		Product: known(in.names.products, "service", ln.text("service")),
 		Title:   number(in.titles, ln.text("asset")),
-		Key:     key(ln.text("asset")),
+		Key:     front.Key(ln.text("asset")),
 		Viewer:  number(in.viewers, ln.text("object")),
 		Limit:   now + ticks(ln.numberOr("left-ms", 0)),
 		Home:    int(ln.numberOr("start-cell", 0)),
@@ -313,7 +304,7 @@
 	for _, r := range h.pages[page] {
 		in.list = append(in.list, front.Node{Index: in.node(r.addr), Phase: r.phase,
 			Kind: known(in.names.kinds, "generation-hw", r.kind), Zone: known(in.names.zones, "campus", r.zone),
-			Cell: r.cell, Started: r.started, Weight: r.weight, Key: key(r.addr)})
+			Cell: r.cell, Started: r.started, Weight: r.weight, Key: front.Key(r.addr)})
 	}
 	h.encode(in, in.mod.Nodes(h.now, in.list, how != "update"))
 	return nil
--- a/nodes/client.go
+++ b/nodes/client.go
@@ -27,9 +27,11 @@
 )
 
 const (
-	lineMost   = 4 << 20  // bytes of a note: a hello with some ten thousand plays
-	bodyMost   = 64 << 10 // bytes of an answer that are read
-	callsAtOne = 512      // rungs and ends under way at once; more wait their turn
+	lineMost   = 4 << 20               // bytes of a note: a hello with some ten thousand plays
+	bodyMost   = 64 << 10              // bytes of an answer that are read
+	callsAtOne = 512                   // rungs and ends under way at once; more wait their turn
+	graceShare = 0.8                   // of the grace of a draining node, in which a set-up is on its way or not sent at all
+	graceLeast = 20 * time.Millisecond // a dial gets that long whatever the grace
 )
 
 // Catalogue names what the core numbers: products, and where a title lies.
@@ -51,6 +53,7 @@
 	calls   http.Client // rungs, ends and probes, which may be repeated without harm
 	streams http.Client
 	slots   chan struct{}
+	sendFor time.Duration               // from an order to its bytes, at most
 	secure  func() (*tls.Config, error) // nil speaks plainly
 
 	ctx    context.Context
@@ -67,13 +70,16 @@
 
 var errRecalled = errors.New("recalled")
 
-// NewClient makes a client for one life of a front. Secure, if not nil, is asked before each dial for what
+// NewClient makes a client for one life of a front. A set-up that can't be written within a part of grace, the time
+// in which work may still reach a node that drains, is not sent: the order came before the front heard of a drain,
+// so what goes out goes out in time. Secure, if not nil, is asked before each dial for what
 // TLS towards the nodes goes by.
-func NewClient(name string, epoch int64, report bool, names Catalogue, r *session.Runner, secure func() (*tls.Config, error),
+func NewClient(name string, epoch int64, report bool, grace time.Duration, names Catalogue, r *session.Runner, secure func() (*tls.Config, error),
 	log zerolog.Logger) *Client {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Client{name: name, epoch: epoch, report: report, names: names, runner: r, secure: secure, log: log,
-		slots: make(chan struct{}, callsAtOne), ctx: ctx, cancel: cancel,
+		sendFor: min(session.Duration(pulse.ConnectFor), max(graceLeast, time.Duration(graceShare*float64(grace)))),
+		slots:   make(chan struct{}, callsAtOne), ctx: ctx, cancel: cancel,
 		setUps: map[session.Ref]context.CancelCauseFunc{}, dialled: map[int]*dial{}}
 	dialFor := func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, session.Duration(pulse.ConnectFor))
@@ -138,12 +144,13 @@
 // SetUp sends one set-up and tells the core how it went.
 func (c *Client) SetUp(a session.Allocation) {
 	ctx, cancel := context.WithCancelCause(c.ctx)
+	ordered := time.Now()
 	c.mu.Lock()
 	c.setUps[a.Ref] = cancel
 	c.mu.Unlock()
 	c.spawn(func() {
 		until := time.Now().Add(session.Duration(a.Until - c.runner.Clock().Now()))
-		started, how, load := c.exchange(ctx, a, until)
+		started, how, load := c.exchange(ctx, a, ordered, until)
 		cancel(nil)
 		c.mu.Lock()
 		delete(c.setUps, a.Ref)
@@ -174,13 +181,13 @@
 
 // exchange is one request and its answer on a connection of its own, written by one Write. Until a
 // byte of it is out, nothing can have run; from then on only the node's own word says so.
-func (c *Client) exchange(ctx context.Context, a session.Allocation, until time.Time) (Started, front.Ending, front.Load) {
+func (c *Client) exchange(ctx context.Context, a session.Allocation, ordered, until time.Time) (Started, front.Ending, front.Load) {
 	request, err := c.request(a, until)
 	if err != nil {
 		c.log.Error().Err(err).Str("play", a.Play).Msg("set-up not sent")
 		return Started{}, front.NotSent, front.Untold
 	}
-	last := time.Now().Add(session.Duration(pulse.ConnectFor))
+	last := ordered.Add(c.sendFor)
 	if until.Before(last) {
 		last = until
 	}
@@ -200,6 +207,9 @@
 	if ctx.Err() != nil {
 		return Started{}, front.NotSent, front.Untold
 	}
+	if time.Now().After(last) {
+		return Started{}, front.NoConnect, front.Untold
+	}
 	if n, err := conn.Write(request); err != nil && n == 0 {
 		return Started{}, front.NoConnect, front.Untold
 	} else if err != nil {
--- a/serve/metrics.go
+++ b/serve/metrics.go
@@ -44,6 +44,9 @@
 	describe(c.count, "orphans_total", "Allocations found running that nobody wants, and ended.")
 	describe(c.count, "turned_away_total", "Requests turned away at the intake gate.")
 	describe(c.count, "core_busy_seconds_total", "Time that the core worked.")
+	describe(c.count, "messages_sent_total", "Messages sent to other fronts.")
+	describe(c.count, "messages_heard_total", "Messages heard from other fronts.")
+	describe(c.count, "messages_dropped_total", "Messages that no other front vouches for, dropped.")
 	describe(c.gauge, "sockets_open", "Players' sockets that are open.")
 	describe(c.gauge, "sockets_tickets", "Requests and plays kept for sockets, broken ones' included.")
 	describe(c.count, "sockets_refused_total", "Sockets not let in.")
@@ -78,6 +81,10 @@
 		broken = 1
 	}
 	sockets, open, tickets := c.front.sockets.Counts()
+	var sent, heard, dropped uint64
+	if c.front.peers != nil {
+		sent, heard, dropped = c.front.peers.Counts()
+	}
 	for name, v := range map[string]float64{"sockets_open": float64(open), "sockets_tickets": float64(tickets), "ready": ready, "store_broken": broken, "plays_in_hand": float64(n.InHand), "viewers_known": float64(n.Viewers),
 		"titles_known": float64(n.Titles), "nodes_known": float64(n.Nodes), "requests_waiting": float64(waiting)} {
 		out <- prometheus.MustNewConstMetric(c.gauge[name], prometheus.GaugeValue, v)
@@ -86,7 +93,8 @@
 		"sockets_cut_total": float64(sockets.Cut.Load()), "sockets_resumed_total": float64(sockets.Resumed.Load()), "taken_total": float64(n.Taken), "plays_total": float64(n.Plays),
 		"declined_total": float64(n.Declined), "failed_total": float64(n.Failed), "denied_total": float64(n.Denied),
 		"moved_total": float64(n.Moved), "lost_total": float64(n.Lost), "adopted_total": float64(n.Adopted),
-		"orphans_total": float64(n.Orphans), "turned_away_total": float64(turned),
+		"orphans_total": float64(n.Orphans), "messages_sent_total": float64(sent), "messages_heard_total": float64(heard),
+		"messages_dropped_total": float64(dropped), "turned_away_total": float64(turned),
 		"core_busy_seconds_total": c.front.runner.Busy().Seconds()} {
 		out <- prometheus.MustNewConstMetric(c.count[name], prometheus.CounterValue, v)
 	}
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -23,6 +23,7 @@
 	"gullrail/intake"
 	"gullrail/nodes"
 	"gullrail/parting"
+	"gullrail/peers"
 	"gullrail/session"
 	"gullrail/token"
 	"gullrail/wsapi"
@@ -40,6 +41,7 @@
 	server  *http.Server
 	sockets *wsapi.Front
 	fleet   *fleet
+	peers   *peers.Conn // nil where fronts send each other nothing
 }
 
 // Listen makes a front end and opens its socket, so that a port that is taken shows at once. Epoch
@@ -76,8 +78,9 @@
 	seed := set.Seed + uint64(set.Number)*1_000_003 // fronts that share a settings file still draw apart
 	f := &Front{set: set, log: log, listen: listen, runner: session.NewRunner(clock, intake.New(set.Waiting, seed))}
 	service := &f.set.Service
-	f.client = nodes.NewClient(set.Name, epoch, service.Reports == "answers", service, f.runner, secure, log)
-	module := choice.New(service.Terms(set.Number, set.Zone), seed)
+	f.client = nodes.NewClient(set.Name, epoch, service.Reports == "answers",
+		time.Duration(service.DrainGraceMs*float64(time.Millisecond)), service, f.runner, secure, log)
+	module := choice.New(set.Terms(), seed)
 	carrier := session.Carrier(f.client)
 	var was earlier
 	if set.State != "" {
@@ -91,6 +94,16 @@
 	if f.journal != nil {
 		f.core.Expect(clock.Now(), was.open, was.past, was.lost)
 	}
+	if set.Peers.Listen != "" {
+		f.peers, err = peers.Listen(set.Peers.Listen, set.Number, set.Peers.Fronts, set.Peers.Secret, func(from int, b []byte) {
+			f.runner.Offer(func(now int64, c *session.Core) { c.Message(now, from, b) })
+		}, log)
+		if err != nil {
+			listen.Close()
+			return nil, fmt.Errorf("front %s: %w", set.Name, err)
+		}
+		f.core.Tell(f.peers.Send)
+	}
 	mux := http.NewServeMux()
 	life := time.Duration(set.TokenMs * float64(time.Millisecond))
 	d := desk.New(set.Name, media, service, minter, life, f.runner, log)
@@ -99,6 +112,9 @@
 	mux.Handle("GET "+wsapi.Path, f.sockets)
 	if f.fleet, err = openFleet(set.State, set.ListURL, service, f.runner, log); err != nil {
 		listen.Close()
+		if f.peers != nil {
+			f.peers.Close()
+		}
 		return nil, err
 	}
 	mux.HandleFunc("GET /readyz", f.ready)
@@ -195,6 +211,9 @@
 	g.Go(func() error { return f.runner.Run(inner, f.core) })
 	g.Go(func() error { return list.Run(inner) })
 	g.Go(func() error { return f.fleet.run(inner) })
+	if f.peers != nil {
+		g.Go(func() error { return f.peers.Run(inner) })
+	}
 	g.Go(func() error {
 		if err := f.server.Serve(f.listen); !errors.Is(err, http.ErrServerClosed) {
 			return fmt.Errorf("front %s: %w", f.set.Name, err)
@@ -218,3 +237,12 @@
 	f.log.Info().Str("front", f.set.Name).Msg("front ended")
 	return err
 }
+
+// Messages is how many messages of other fronts were heard.
+func (f *Front) Messages() uint64 {
+	if f.peers == nil {
+		return 0
+	}
+	_, heard, _ := f.peers.Counts()
+	return heard
+}
--- a/session/core.go
+++ b/session/core.go
@@ -228,6 +228,7 @@
 	nodeAt   map[string]int
 	freed    []int // node numbers that may name another
 	products Products
+	tell     func(to int, bytes []byte) // nil where fronts send each other nothing
 	parting  bool
 	expected []Expected       // until the first list
 	atOnce   bool             // what was held before is known by record
@@ -404,7 +405,7 @@
 	c.plays[p.id], c.asking[key] = p, p
 	c.counts.Taken++
 	h, res := c.mod.Take(now, front.Want{Product: a.Product, Title: p.title, Viewer: p.viewer, Limit: a.Limit,
-		Length: a.Length, Home: a.Home, Copies: a.Copies, Top: a.Top, Moved: isMoved, Again: a.Back != nil})
+		Length: a.Length, Home: a.Home, Copies: a.Copies, Top: a.Top, Key: front.Key(a.Title), Moved: isMoved, Again: a.Back != nil})
 	c.enter(p, h)
 	c.carry(now, res)
 }
@@ -639,13 +640,21 @@
 	c.plays[p.id] = p
 	c.nodes[at].plays++
 	h, res := c.mod.Adopt(now, front.Want{Product: r.Product, Title: p.title, Viewer: p.viewer, Limit: now,
-		Length: r.Left, Home: r.Home, Copies: r.Copies, Top: r.Top}, at)
+		Length: r.Left, Home: r.Home, Copies: r.Copies, Top: r.Top, Key: front.Key(r.Title)}, at)
 	c.enter(p, h)
 	c.carry(now, res)
 	c.carry(now, c.mod.Told(now, p.h, r.Rung))
 	return p
 }
 
+// Tell sets how messages to other fronts are sent; it must not block, nor keep the bytes. Without it none are.
+func (c *Core) Tell(tell func(to int, bytes []byte)) { c.tell = tell }
+
+// Message brings a message of another front.
+func (c *Core) Message(now int64, from int, bytes []byte) {
+	c.carry(now, c.mod.Heard(now, from, bytes))
+}
+
 // Heard says that something came on a node's stream.
 func (c *Core) Heard(now int64, at int) { c.watch.Heard(now, at) }
 
@@ -747,7 +756,7 @@
 			c.follow(now, at, c.watch.First(now, len(lines)))
 		}
 		c.list = append(c.list, front.Node{Index: at, Phase: l.Phase, Kind: l.Kind, Zone: l.Zone, Cell: l.Cell,
-			Started: l.Started, Weight: l.Weight})
+			Started: l.Started, Weight: l.Weight, Key: front.Key(n.name)})
 	}
 	c.listed = c.listed[:0]
 	for i := range c.nodes {
@@ -929,6 +938,11 @@
 		c.nodes[at].probing = true
 		c.out.Probe(at, c.nodes[at].address)
 	}
+	if c.tell != nil {
+		for _, t := range res.Tells {
+			c.tell(t.To, t.Bytes)
+		}
+	}
 	for _, p := range moves { // the result is not read any more: the module may be called again
 		c.counts.Moved++
 		c.endAt(now, p, "moved", front.CalledOff, ledger.Moved)
--- a/session/runner.go
+++ b/session/runner.go
@@ -77,6 +77,16 @@
 	}
 }
 
+// Offer is Tell for what may be lost: it drops the event while too many wait, and says whether it took it.
+func (r *Runner) Offer(ev func(now int64, c *Core)) bool {
+	select {
+	case r.events <- ev:
+		return true
+	default:
+		return false
+	}
+}
+
 // Ask brings a request from a client, by whose name floods are told. Its answer comes to a.Reply.
 // The result withdraws it: the caller must call it if it stops waiting before the answer.
 func (r *Runner) Ask(a Ask, client string, importance float64) (withdraw func()) {
