--- a/choice/choice.go
+++ b/choice/choice.go
@@ -235,6 +235,11 @@
 	if p := f.plays.Get(h); p != nil && p.stage == playing {
 		f.rerate(p, rung)
 		f.setRung(now, h, p, max(rung, f.floor(p)))
+		if n := float64(len(f.holders(p))); n > 0 && f.shares(p) { // it plays on any of them, not gathered
+			before := f.rate(p, p.rung)
+			f.joining(p, float64(f.viewersOf(p))*f.val("fronts")/n)
+			f.carry(p.node, f.rate(p, p.rung)-before)
+		}
 	}
 	return f.end(now)
 }
@@ -586,29 +591,39 @@
 	return f.cands[f.rnd.Below(len(f.cands))].at, false
 }
 
-// gathers is the part of its holders on which the viewers of a live title are gathered, and sets what
-// one more then adds to a link: fronts that draw among all holders would leave little to share. The
-// viewers are taken to be as many at each front; so many nodes are used that they ask gatherPart of them.
-// Guards against streams of one viewer each. It could harm where a title is wanted at few fronts only.
+// gathers is the part of its holders on which the viewers of a live title are gathered, and enters what one
+// more then adds to a link: fronts that draw among all holders would leave little to share. The viewers are
+// taken to be as many at each front; so many nodes are used that they ask gatherPart of each. Guards against
+// streams of one viewer each. It could harm where a title is wanted at few fronts only.
 func (f *Front) gathers(p *ply) float64 {
-	join := f.of("join", 0, 1)
-	if join >= 1 || f.of("product.live", p.want.Product, 0) == 0 || len(f.holders(p)) == 0 {
+	nodes := float64(len(f.holders(p)))
+	if !f.shares(p) || nodes == 0 {
 		return 1
 	}
 	p.saves, p.joins = 0, false
-	all := max(1, float64(f.viewersOf(p))*f.val("fronts"))
-	nodes, each := float64(len(f.held)), join*f.rate(p, f.top(p))
+	all, each := float64(f.viewersOf(p))*max(1, f.val("fronts")), f.val("join")*f.rate(p, f.top(p))
 	link := f.val("weight.rate")
 	if up := f.val("uplink.rate") * float64(len(f.racks)) / max(1, float64(f.listed)); up > 0 {
 		link = min(link, up)
 	}
 	part := min(1, max(1, all*each/(gatherPart*link))/nodes)
-	if on := all / (part * nodes); on >= joinFrom {
-		p.saves, p.joins = (1-join)*(1-1/on), true
-	}
+	f.joining(p, all/(part*nodes))
 	return part
 }
 
+// shares tells that viewers of a play's title may share a stream.
+func (f *Front) shares(p *ply) bool {
+	return f.of("join", 0, 1) < 1 && f.of("product.live", p.want.Product, 0) > 0
+}
+
+// joining enters that a play is one of so many on a stream, as far as can be expected. It then adds less to
+// the link, and keeps its best rung: one alone on another rung would ask more than its step down frees.
+func (f *Front) joining(p *ply, on float64) {
+	if on >= joinFrom {
+		p.saves, p.joins = (1-f.val("join"))*(1-1/on), true
+	}
+}
+
 // scattered is a number from 0 to 1 for a node and a title, the same at every front.
 func (f *Front) scattered(at int, p *ply) float64 {
 	x := uint64(f.nodes[at].key)<<32 | uint64(p.want.Key)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -846,3 +846,18 @@
 		}
 	}
 }
+
+func TestAdoptedViewersOfALiveTitleJoin(t *testing.T) {
+	f := keyed(fleet(10, live))
+	w := want(0)
+	w.Copies, w.Key = 200, 77
+	h, _ := f.Adopt(now, w, 3) // 100 viewers on ten nodes
+	f.Told(now, h, 2)
+	if p := f.plays.Get(h); !p.joins || math.Abs(f.nodes[3].own-148) > 1e-6 { // 400 x (0.3 + 0.7 / 10)
+		t.Fatalf("joins %v, the node counts as asked %v", p.joins, f.nodes[3].own)
+	}
+	f.Ended(now, h, 0, front.Served, true, front.Untold)
+	if math.Abs(f.nodes[3].own) > 1e-6 {
+		t.Fatalf("%v is left at its node", f.nodes[3].own)
+	}
+}
