Leave counts from a node's keeper alone; levels told long ago are forgotten

Cause: any front could give leave for a cold node, and a front cut off for long went on by the last levels heard. Both tests were seen to fail without the line.

--- a/choice/book.go
+++ b/choice/book.go
@@ -71,7 +71,8 @@
 func (f *Front) viewersOf(p *ply) int {
 	n := 1
 	for i := range f.plays.Len() {
-		if _, o := f.plays.At(i); o != nil && o != p && o.want.Title == p.want.Title && o.want.Product == p.want.Product {
+		_, o := f.plays.At(i)
+		if o != nil && o != p && o.want.Title == p.want.Title && o.want.Product == p.want.Product {
 			n++
 		}
 	}
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -61,7 +61,7 @@
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
 	looks       = 4         // holders looked at before a set-up where fronts tell each other
 	probeLooks  = 2         // the same by probes, which have a price
-	heardFor    = 15 * sec  // without any message for so long, answers are not waited for
+	heardFor    = 15 * sec  // without any message for so long, none is waited for; twice it, told levels are forgotten
 	lookFor     = 100 * ms  // a play waits no longer for an answer to its look
 	perPlay     = 0.7       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
@@ -292,15 +292,15 @@
 		f.tell(now, from, at, kind)
 	case (b[0] == figures || b[0] == leave) && len(b) == 9:
 		n.probing = false
-		if b[0] == leave {
+		if b[0] == leave && from == f.keeper(at) {
 			n.leave = n.probedAt + lookFor
 		}
 		if b[8] != untold {
 			f.levels = min(f.levels+1, levelOf)
 			f.theirs += (float64(b[8])/levelUnit - levelBase - f.theirs) / f.levels
 		}
-		age := int64(b[7]) * ageUnit
-		if f.report(now, at, front.Load{Streams: -1, Link: unpack(b[5]), Uplink: unpack(b[6])}, reportLag+age, age) {
+		age, load := int64(b[7])*ageUnit, front.Load{Streams: -1, Link: unpack(b[5]), Uplink: unpack(b[6])}
+		if f.report(now, at, load, reportLag+age, age) {
 			f.resetSetUps(now, at)
 		}
 		f.placeWaiting(now, false)
@@ -339,6 +339,9 @@
 			below, sum = below+1, sum+float64(p.rung)-f.lift(p)
 		}
 	}
+	if now-f.heardAt > 2*heardFor { // what others told is too old to go by
+		f.levels = 0
+	}
 	f.mine = sum / float64(max(1, below))
 	f.rising = below > 0
 	f.level = (sum + f.theirs*f.levels) / max(1, float64(below)+f.levels)
@@ -749,7 +752,8 @@
 // any on a link that stays far behind the average. Guards against nodes of little wanted titles that
 // stand empty while full ones keep the reach low; it could harm where a crowd comes to just these.
 func (f *Front) inReach(now int64, at int, p *ply, rung int, more float64) bool {
-	return float64(rung) <= f.reach(now, at)+f.lift(p) || f.linkAsked(now, at)+more/f.capacity(now, at) <= behind*f.usual
+	return float64(rung) <= f.reach(now, at)+f.lift(p) ||
+		f.linkAsked(now, at)+more/f.capacity(now, at) <= behind*f.usual
 }
 
 // reach is the highest rung that a play may start at or step up to. A rung more earns several
@@ -775,9 +779,8 @@
 // a step earns for its rate by about the same, and an importance multiplies it.
 func (f *Front) earnings() []float64 {
 	out, mean, top := make([]float64, len(f.set["product.rate"])), 0.0, len(f.set["rung.rate"])-1
-	earns := func(r int) float64 {
-		return (f.of("rung.worth", r, 0) - f.of("rung.worth", r-1, 0)) / (f.of("rung.rate", r, 0) - f.of("rung.rate", r-1, 0))
-	}
+	step := func(name string, r int) float64 { return f.of(name, r, 0) - f.of(name, r-1, 0) }
+	earns := func(r int) float64 { return step("rung.worth", r) / step("rung.rate", r) }
 	if top < 2 || !(earns(1) > earns(top) && earns(top) > 0) {
 		return out // no such ladder: all alike
 	}
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -760,6 +760,11 @@
 	if f.pace(now, 1) {
 		t.Fatal("used a cold node without leave")
 	}
+	g := keyed(fleet(2, telling))
+	g.nodes[0].started, g.nodes[0].probedAt = now-5*sec, now
+	if g.Heard(now+10*ms, 1, says(leave, 10, 0, 0, untold)); g.nodes[0].leave != 0 {
+		t.Fatal("took leave from a front that does not keep the node")
+	}
 	f.Heard(now+10*ms, 1, says(leave, 11, 0, 0, untold))
 	if !f.pace(now+lookFor-1, 1) || f.pace(now+lookFor, 1) {
 		t.Fatal("a leave holds for lookFor since it was asked for")
@@ -786,6 +791,10 @@
 	if math.Abs(f.level-1.5) > 1e-9 || math.Abs(f.lift(dear)-f.lift(plain)-1) > 1e-9 {
 		t.Fatalf("level %v, lifts %v and %v", f.level, f.lift(plain), f.lift(dear))
 	}
+	f.Wake(now + 2*heardFor + 1)
+	if f.level != 0 || f.lift(dear) != 0 {
+		t.Fatal("goes by levels told long ago")
+	}
 }
 
 func live(set map[string][]float64) {
--- a/choice/state.go
+++ b/choice/state.go
@@ -26,11 +26,11 @@
 	usualUp float64   // the same of uplinks
 	changes int       // to any account
 	told    bool      // any figure yet
+	level   float64   // mean rung of plays that could still rise, less their lift
 	mine    float64   // the same of own plays alone
 	rising  bool      // there are such plays
 	theirs  float64   // mean of the levels that other fronts told
 	levels  float64   // how many that goes over
-	level   float64   // mean rung of plays that could still rise, less their lift
 	lifts   []float64 // rungs that a product may stand over the others
 	cold    int       // a holder of the last title asked for whose turn it is not, or -1
 	born    int64     // first call
