--- a/choice/choice.go
+++ b/choice/choice.go
@@ -61,7 +61,7 @@
 	reportLag   = 600 * ms  // a report may lack what was set up this short before it, a note its lag more
 	looks       = 4         // holders looked at before a set-up where fronts tell each other
 	probeLooks  = 2         // the same by probes, which have a price
-	heardFor    = 15 * sec  // without any message for so long, none is waited for; twice it, told levels are forgotten
+	heardFor    = 15 * sec  // without a message, then none is waited for; twice it, told levels go
 	lookFor     = 100 * ms  // a play waits no longer for an answer to its look
 	perPlay     = 0.7       // probes earned by each play taken, which keeps their price near its unit
 	probeStore  = 20.0      // probes saved up at most: one look at a fleet
