--- a/choice/choice.go
+++ b/choice/choice.go
@@ -53,7 +53,6 @@
 	joinFrom    = 2.0       // viewers expected on a stream from which one more counts as joining it
 	gatherPart  = 0.5       // of a link that the viewers of one live title, gathered, are to ask
 	nearRoom    = 0.1       // of the most room: holders this near are equals, drawn at random
-	farCost     = 0.1       // asked over given: another zone's node counts as so much fuller, with no room
 	wakeEvery   = 200 * ms  // pace of checks: well under a second, and cheap
 	settle      = 1500 * ms // beyond the notes' lag: smoothed, they take as long to show a change
 	freshFor    = 1500 * ms // an older report is asked again before a step up
@@ -558,9 +557,6 @@
 	if f.cands[0].room < need { // no room: the least used
 		least := f.cands[0]
 		for _, c := range f.cands {
-			if !f.ownZone(c.at) {
-				c.used += farCost
-			}
 			if c.used < least.used {
 				least = c
 			}
