--- a/choice/choice.go
+++ b/choice/choice.go
@@ -2,10 +2,10 @@
 //
 // The front end makes one Front with New and tells it all it learns through the calls of
 // front.Chooser: package front holds that interface and its words. Each call returns the orders
-// to carry out, the nodes to probe and when to call Wake at the latest. Nothing else is read:
-// no clock, no wire, no other front. state.go holds the records, book.go enters plays and walks
+// to carry out, the nodes to probe, messages to other fronts and when to call Wake at the latest.
+// Nothing else is read: no clock, no wire. Messages may all be lost: what they bring is load alone. state.go holds the records, book.go enters plays and walks
 // lists; neither decides. docs/design.md has the reasons, docs/oncall.md the symptoms.
-// In this order: constants, calls, placing, account, rungs in play, health, the six rules.
+// In this order: constants, calls, placing, account and messages, rungs in play, health, the six rules.
 package choice
 
 import (
@@ -452,9 +452,9 @@
 	}
 }
 
-// look asks for the holder chosen and for equals drawn at random where their figures are old, one by a
-// probe or some of their keepers, and there for the leave to use a cold holder. It tells that an answer
-// is to come: the play is placed by it. Guards against blind set-ups and against nodes that died
+// look asks for the holder chosen and for equals drawn at random where their figures are old: one by a
+// probe, or several of their keepers and one of these for the leave to use a cold holder. It tells that
+// an answer is to come: the play is placed by it. Guards against blind set-ups and against nodes that died
 // unlisted; it costs a probe or messages, and harms where reports are very late.
 func (f *Front) look(now int64, p *ply, at int) bool {
 	if !f.asks() && !f.tells() || p.want.Limit-now <= 2*wakeEvery { // the next check may be too late
