--- a/choice/choice.go
+++ b/choice/choice.go
@@ -4,7 +4,8 @@
 // front.Chooser: package front holds that interface and its words. Each call returns the orders
 // to carry out, the nodes to probe, messages to other fronts and when to call Wake at the latest.
 // Nothing else is read: no clock, no wire. Messages may all be lost: no rule rests on one.
-// state.go holds the records, book.go enters plays and walks lists; neither decides. docs/design.md has the reasons, docs/oncall.md the symptoms.
+// state.go holds the records, book.go enters plays and walks lists; neither decides.
+// docs/design.md has the reasons, docs/oncall.md the symptoms.
 // In this order: constants, calls, placing, account and messages, rungs in play, health, the six rules.
 package choice
 
