Streams step down once all other plays stand at the bottom

Joiners now step down together on a full link, and start at their floor there, once the level of the fleet is within 0.2 rungs of where it can't fall. The test was seen to fail without either line.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,6 +51,7 @@
 	fades       = 20 * sec  // an older figure says no more of a link than what links are asked on average
 	usualOver   = 10.0      // figures that this average goes over
 	crowd       = 0.75      // of own changes since a report: what the others, if many, are taken to add
+	atBottom    = 0.2       // rungs over the lowest level that there can be: all who can have stepped down
 	joinFrom    = 2.0       // viewers expected on a stream from which one more counts as joining it
 	gatherPart  = 0.5       // of a link that the viewers of one live title, gathered, are to ask
 	nearRoom    = 0.1       // of the most room: holders this near are equals, drawn at random
@@ -89,7 +90,7 @@
 
 // New makes a front from its settings, a map of names to numbers, and a seed.
 func New(set map[string][]float64, seed uint64) *Front {
-	f := &Front{set: set, rnd: pcg.New(seed), probes: probeStore}
+	f := &Front{set: set, rnd: pcg.New(seed), probes: probeStore, born: math.MaxInt64}
 	f.racks = make([]rack, max(1, int(f.val("racks"))))
 	f.cells = make([][]int, max(1, int(f.val("cells"))))
 	f.kinds = make([]kind, len(set["kind.streams"]))
@@ -111,9 +112,7 @@
 // Nodes follows the list. What a full list lacks is gone.
 func (f *Front) Nodes(now int64, list []front.Node, whole bool) *front.Result {
 	f.begin()
-	if f.born == 0 {
-		f.born = now
-	}
+	f.born = min(f.born, now)
 	for i := range f.nodes {
 		if whole && f.nodes[i].listed {
 			f.nodes[i].listed, f.nodes[i].unlistedAt = false, now
@@ -348,6 +347,10 @@
 	if below == 0 && all > 0 {
 		f.level = math.Inf(1)
 	}
+	f.crammed = false
+	for i, l := range f.lifts { // of all products, the one whose floor is highest
+		f.crammed = f.crammed || below > 0 && f.level <= f.of("product.floor", i, 0)-f.trust()*l+atBottom
+	}
 	if !f.told { // nothing is known but own plays: the other fronts are taken to hold as many
 		own, given := 0.0, 1.0
 		for at := range f.nodes {
@@ -592,9 +595,8 @@
 }
 
 // gathers is the part of its holders on which the viewers of a live title are gathered, and enters what one
-// more then adds to a link: fronts that draw among all holders would leave little to share. The viewers are
-// taken to be as many at each front; so many nodes are used that they ask gatherPart of each. Guards against
-// streams of one viewer each. It could harm where a title is wanted at few fronts only.
+// more adds. Viewers are taken to be as many at each front; so many nodes are used that they ask gatherPart
+// of each. Guards against streams of one viewer each. It could harm where few fronts want a title.
 func (f *Front) gathers(p *ply) float64 {
 	nodes := float64(len(f.holders(p)))
 	if !f.shares(p) || nodes == 0 {
@@ -736,7 +738,9 @@
 // fit is the highest rung that a room takes, within reach.
 func (f *Front) fit(now int64, at int, p *ply, room float64) int {
 	r := f.top(p)
-	if p.joins {
+	if p.joins && f.crammed && f.used(now, at) > fullMark {
+		return f.floor(p)
+	} else if p.joins {
 		return r
 	}
 	for r > f.floor(p) && (f.rate(p, r) > room || !f.inReach(now, at, p, r, f.rate(p, r))) {
@@ -882,12 +886,9 @@
 		return
 	}
 	switch {
-	case f.tells():
-		if to == int(f.val("front")) {
-			return
-		}
+	case f.tells() && to != int(f.val("front")):
 		f.send(to, asksFor, n.key)
-	case f.asks() && f.probes >= cost && !n.probing:
+	case !f.tells() && f.asks() && f.probes >= cost && !n.probing:
 		f.probes -= cost
 		f.res.Probes = append(f.res.Probes, at)
 	default:
@@ -995,6 +996,13 @@
 	if asks <= mark || !f.settled(now, n.cutAt) {
 		return
 	}
+	for _, h := range n.plays { // streams step down last, all who joined together
+		p := f.plays.Get(h)
+		if f.crammed && asks > fullMark && p.joins && p.stage == playing && p.rung > f.floor(p) {
+			n.cutAt = now
+			f.setRung(now, h, p, p.rung-1)
+		}
+	}
 	goal := n.own * cutTo / asks
 	for n.own > goal {
 		h, p := f.best(at, func(p *ply) float64 {
@@ -1188,8 +1196,8 @@
 }
 
 // mayGive tells that this front, as a cold node's keeper, may give leave for one set-up: one in giveEvery
-// turns, so that fronts that go by turns may have all of theirs beside it within coldMargin. A leave that
-// is lost is a turn not used. A keeper just started gives none: what it gave before is not known.
+// turns, so that fronts that go by turns may have theirs beside it within coldMargin. A lost leave is a
+// turn not used. A keeper just started gives none: what it gave before is not known.
 func (f *Front) mayGive(now int64, at int) bool {
 	turn, cold := f.turnOf(now, at)
 	return cold && f.nodes[at].phase == front.Ready && turn/giveEvery > f.nodes[at].slot/giveEvery &&
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -870,3 +870,29 @@
 		t.Fatalf("%v is left at its node", f.nodes[3].own)
 	}
 }
+
+func TestStreamsStepDownOnceAllOthersStandAtTheBottom(t *testing.T) {
+	f := keyed(fleet(1, live, alone))
+	a, _ := playingAt(f, 0, 0, 2, now-sec)
+	b, _ := playingAt(f, 0, 1, 2, now-sec)
+	joiner, other := f.plays.Get(a), f.plays.Get(b)
+	joiner.joins = true
+	f.rerate(other, 1) // one over its floor would be 2
+	for _, c := range []struct {
+		level   float64
+		asks    float64
+		crammed bool
+		rung    int
+	}{{2, 1.3, false, 2}, {1, 0.97, true, 2}, {1, 1.3, true, 1}} {
+		f.nodes[0].cutAt = never
+		f.rerate(other, int(c.level))
+		f.Wake(now)
+		if f.crammed != c.crammed {
+			t.Fatalf("level %v: crammed %v", f.level, f.crammed)
+		}
+		f.cut(now, 0, c.asks, overMark)
+		if joiner.rung != c.rung {
+			t.Fatalf("at level %v, asked %v: rung %d", c.level, c.asks, joiner.rung)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -31,6 +31,7 @@
 	rising  bool      // there are such plays
 	theirs  float64   // mean of the levels that other fronts told
 	levels  float64   // how many that goes over
+	crammed bool      // the level is as low as it can be
 	lifts   []float64 // rungs that a product may stand over the others
 	cold    int       // a holder of the last title asked for whose turn it is not, or -1
 	born    int64     // first call
