--- a/conf/service.go
+++ b/conf/service.go
@@ -361,6 +361,9 @@
 	for _, e := range list.List(true) {
 		p.Fronts = append(p.Fronts, Address(e))
 	}
+	if fronts > 1<<16 {
+		list.Wrong("messages number 65536 fronts at most")
+	}
 	if len(p.Fronts) != fronts {
 		list.Wrong("%d addresses for %d fronts", len(p.Fronts), fronts)
 	}
