Tidy: one reader of 32 bytes, the library's FNV, holders walked once, no accessor for a test

Holders were walked twice a choice and hashed for titles that are not live; keys came from an FNV of our own; seeds, public keys and secrets had three readers; a step up's merit was floored at 1 kB a second, which bent it on ladders below that; Front.Messages served a test alone, which now reads /metrics.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -234,9 +234,9 @@
 	if p := f.plays.Get(h); p != nil && p.stage == playing {
 		f.rerate(p, rung)
 		f.setRung(now, h, p, max(rung, f.floor(p)))
-		if n := float64(len(f.holders(p))); n > 0 && f.shares(p) { // it plays on any of them, not gathered
+		if f.shares(p) && len(f.holders(p)) > 0 { // it plays on any of them, not gathered
 			before := f.rate(p, p.rung)
-			f.joining(p, float64(f.viewersOf(p))*f.val("fronts")/n)
+			f.joining(p, float64(f.viewersOf(p))*f.val("fronts")/float64(len(f.held)))
 			f.carry(p.node, f.rate(p, p.rung)-before)
 		}
 	}
@@ -519,11 +519,12 @@
 // now, and whether to wait as one soon may.
 func (f *Front) choose(now int64, p *ply) (at int, wait bool) {
 	holdUntil := p.taken + int64(holdShare*f.of("product.target", p.want.Product, 0))
-	gathers := f.gathers(p)
+	held := f.holders(p)
+	gathers := f.gathers(p, len(held))
 	need := f.rate(p, f.floor(p))
 	f.cands, f.cold = f.cands[:0], -1
 	cold := 0
-	for _, i := range f.holders(p) {
+	for _, i := range held {
 		if f.nodes[i].phase != front.Ready {
 			continue
 		}
@@ -554,7 +555,9 @@
 		f.prefer(func(c *cand) bool { return c.at != v.left-1 })
 	}
 	f.prefer(func(c *cand) bool { return c.room >= need })
-	f.prefer(func(c *cand) bool { return f.scattered(c.at, p) < gathers })
+	if gathers < 1 {
+		f.prefer(func(c *cand) bool { return f.scattered(c.at, p) < gathers })
+	}
 	if f.tells() { // what was looked at, not what is only supposed
 		f.prefer(func(c *cand) bool { return c.room >= need && now-f.nodes[c.at].link.at <= fullFor })
 	}
@@ -597,11 +600,11 @@
 // gathers is the part of its holders on which the viewers of a live title are gathered, and enters what one
 // more adds. Viewers are taken to be as many at each front; so many nodes are used that they ask gatherPart
 // of each. Guards against streams of one viewer each. It could harm where few fronts want a title.
-func (f *Front) gathers(p *ply) float64 {
-	nodes := float64(len(f.holders(p)))
-	if !f.shares(p) || nodes == 0 {
+func (f *Front) gathers(p *ply, held int) float64 {
+	if !f.shares(p) || held == 0 {
 		return 1
 	}
+	nodes := float64(held)
 	p.saves, p.joins = 0, false
 	all, each := float64(f.viewersOf(p))*max(1, f.val("fronts")), f.val("join")*f.rate(p, f.top(p))
 	link := f.val("weight.rate")
@@ -738,9 +741,10 @@
 // fit is the highest rung that a room takes, within reach.
 func (f *Front) fit(now int64, at int, p *ply, room float64) int {
 	r := f.top(p)
-	if p.joins && f.crammed && f.used(now, at) > fullMark {
-		return f.floor(p)
-	} else if p.joins {
+	if p.joins {
+		if f.crammed && f.used(now, at) > fullMark {
+			return f.floor(p)
+		}
 		return r
 	}
 	for r > f.floor(p) && (f.rate(p, r) > room || !f.inReach(now, at, p, r, f.rate(p, r))) {
@@ -1056,7 +1060,7 @@
 			if gain*float64(left)/float64(sec) <= swapGain*f.val("switch.seconds")*f.importance(p) {
 				return 0
 			}
-			return gain / max(1, f.more(p, p.rung+1))
+			return gain / f.more(p, p.rung+1)
 		})
 		if p == nil {
 			return
--- a/conf/service.go
+++ b/conf/service.go
@@ -179,9 +179,6 @@
 		out["budget.free"], out["budget.share"] = one(s.BudgetFree), one(s.BudgetShare)
 		out["budget.over"] = one(s.BudgetOverMs * 10)
 	}
-	if s.JoinAdds < 1 {
-		out["join"] = one(s.JoinAdds)
-	}
 	for _, k := range s.Kinds {
 		out["kind.streams"] = append(out["kind.streams"], float64(k.Streams))
 	}
@@ -199,8 +196,11 @@
 		add("seats", float64(p.Seats))
 		add("importance", p.Importance)
 		add("target", p.TargetMs*10)
-		if s.JoinAdds < 1 { // else nothing is shared, and the module's settings stay as they were
-			add("live", yes(p.Live)[0])
+	}
+	if s.JoinAdds < 1 { // else nothing is shared, and the module's settings stay as they were
+		out["join"] = one(s.JoinAdds)
+		for _, p := range s.Products {
+			out["product.live"] = append(out["product.live"], yes(p.Live)...)
 		}
 	}
 	return out
@@ -367,12 +367,7 @@
 	if len(p.Fronts) != fronts {
 		list.Wrong("%d addresses for %d fronts", len(p.Fronts), fronts)
 	}
-	secret := v.At("secret")
-	b, err := base64.StdEncoding.DecodeString(secret.Text())
-	if err != nil || len(b) != 32 {
-		secret.Wrong("32 bytes in base64 are needed here")
-	}
-	p.Secret = b
+	p.Secret = bytes32(v.At("secret"))
 	v.Done()
 	return p
 }
@@ -393,6 +388,16 @@
 	return s
 }
 
+// bytes32 reads 32 bytes in base64, the length of seeds, public keys and secrets; nil where they are not there.
+func bytes32(v Value) []byte {
+	b, err := base64.StdEncoding.DecodeString(v.Text())
+	if err != nil || len(b) != 32 {
+		v.Wrong("32 bytes in base64 are needed here")
+		return nil
+	}
+	return b
+}
+
 // ReadKeys reads the keys of session tokens: exactly one signs.
 func ReadKeys(v Value) []Key {
 	var keys []Key
@@ -401,18 +406,13 @@
 		e.Object(true)
 		k := Key{ID: unique(names, e.At("id")), Signs: e.At("signs").BoolOr(false)}
 		if seed := e.At("seed"); seed.Given() {
-			b, err := base64.StdEncoding.DecodeString(seed.Text())
-			if err != nil || len(b) != ed25519.SeedSize {
-				seed.Wrong("32 bytes in base64 are needed here")
-			} else {
-				k.Seed, k.Public = b, ed25519.NewKeyFromSeed(b).Public().(ed25519.PublicKey)
+			if k.Seed = bytes32(seed); k.Seed != nil {
+				k.Public = ed25519.NewKeyFromSeed(k.Seed).Public().(ed25519.PublicKey)
 			}
 		} else if k.Signs {
 			e.At("seed").Wrong("the key that signs needs it")
-		} else if b, err := base64.StdEncoding.DecodeString(e.At("public").Text()); err != nil || len(b) != ed25519.PublicKeySize {
-			e.At("public").Wrong("32 bytes in base64 are needed here")
 		} else {
-			k.Public = b
+			k.Public = bytes32(e.At("public"))
 		}
 		e.At("public")
 		if k.Signs {
--- a/front/front.go
+++ b/front/front.go
@@ -2,6 +2,8 @@
 // the calls, what they are told and what they return. It knows no wire and decides nothing.
 package front
 
+import "hash/fnv"
+
 // Times are counted in tenths of a millisecond.
 const (
 	Ms     int64 = 10
@@ -10,11 +12,9 @@
 
 // Key is a name's number that all fronts work out alike, for Node.Key and Want.Key. Two names may share one.
 func Key(name string) uint32 {
-	h := uint32(2166136261) // FNV-1a
-	for i := range len(name) {
-		h = (h ^ uint32(name[i])) * 16777619
-	}
-	return h
+	h := fnv.New32a()
+	h.Write([]byte(name))
+	return h.Sum32()
 }
 
 // Handle names a play in hand: a place and its generation. The zero Handle names nobody.
--- a/lab/mixed_test.go
+++ b/lab/mixed_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -49,7 +51,7 @@
 	for i := range ports {
 		ports[i] = freeUDP(t)
 	}
-	names, addrs, live := []string{"old0"}, []string{r.addr}, []*serve.Front{r.front}
+	names, addrs := []string{"old0"}, []string{r.addr}
 	ctx, stop := context.WithCancel(context.Background())
 	var running sync.WaitGroup
 	defer func() { stop(); running.Wait() }()
@@ -71,7 +73,7 @@
 				t.Error(err)
 			}
 		}()
-		names, addrs, live = append(names, set.Name), append(addrs, f.Addr()), append(live, f)
+		names, addrs = append(names, set.Name), append(addrs, f.Addr())
 	}
 	for i, addr := range addrs {
 		r.eventually(names[i]+" is ready", func() bool { return r.getAt("http://"+addr+"/readyz").status == 200 })
@@ -116,7 +118,7 @@
 	if !rep.Kept() {
 		t.Errorf("rules: %+v", rep.Rules)
 	}
-	asked, plays, messages := map[string]int{}, map[string]int{}, uint64(0)
+	asked, plays, messages := map[string]int{}, map[string]int{}, 0.0
 	kind := map[int64]string{}
 	for _, l := range r.tape.Lines() {
 		switch {
@@ -127,8 +129,14 @@
 			plays[kind[l.ID]]++
 		}
 	}
-	for _, f := range live {
-		messages += f.Messages()
+	for i, addr := range addrs {
+		_, heard, _ := strings.Cut(r.getAt("http://"+addr+"/metrics").body, fmt.Sprintf("\ngullrail_messages_heard_total{front=%q} ", names[i]))
+		heard, _, _ = strings.Cut(heard, "\n")
+		n, err := strconv.ParseFloat(heard, 64)
+		if err != nil {
+			t.Fatalf("%s does not tell what it heard: %v", names[i], err)
+		}
+		messages += n
 	}
 	for _, k := range []string{"old", "new"} { // both want the same of the same nodes
 		if share := float64(plays[k]) / float64(asked[k]); asked[k] != rounds*fronts/2 || share < 0.8 {
--- a/serve/serve.go
+++ b/serve/serve.go
@@ -237,12 +237,3 @@
 	f.log.Info().Str("front", f.set.Name).Msg("front ended")
 	return err
 }
-
-// Messages is how many messages of other fronts were heard.
-func (f *Front) Messages() uint64 {
-	if f.peers == nil {
-		return 0
-	}
-	_, heard, _ := f.peers.Counts()
-	return heard
-}
--- a/session/runner.go
+++ b/session/runner.go
@@ -77,13 +77,11 @@
 	}
 }
 
-// Offer is Tell for what may be lost: it drops the event while too many wait, and says whether it took it.
-func (r *Runner) Offer(ev func(now int64, c *Core)) bool {
+// Offer is Tell for what may be lost: it drops the event while too many wait.
+func (r *Runner) Offer(ev func(now int64, c *Core)) {
 	select {
 	case r.events <- ev:
-		return true
 	default:
-		return false
 	}
 }
 
