--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -22,6 +22,7 @@
 	"gullrail/lab/audit"
 	"gullrail/lab/page"
 	"gullrail/lab/tape"
+	"gullrail/platform"
 	"gullrail/serve"
 )
 
@@ -33,6 +34,7 @@
 
 type program struct {
 	Serve    serveVerb    `cmd:"" help:"Run a front end until SIGTERM or SIGINT; a second one ends it at once."`
+	Relay    relayVerb    `cmd:"" help:"Run a front end of the platform, as RELAY_CONFIG, RELAY_NAME and RELAY_LISTEN tell it."`
 	Check    checkVerb    `cmd:"" help:"Check settings, of a front end or of a day, and list all mistakes."`
 	Rehearse rehearseVerb `cmd:"" help:"Play a day: front ends as processes, stand-in nodes and viewers, with the six rules audited."`
 	Load     loadVerb     `cmd:"" help:"Measure fronts under an open loop of requests, against the stand-in nodes of a day."`
@@ -69,16 +71,45 @@
 	return f.Run(ctx)
 }
 
+type relayVerb struct {
+	File   string `name:"config" env:"RELAY_CONFIG" required:"" help:"The configuration (JSON)."`
+	Name   string `env:"RELAY_NAME" help:"In place of the configuration's name."`
+	Listen string `env:"RELAY_LISTEN" help:"In place of the configuration's address."`
+}
+
+func (v *relayVerb) Run() error {
+	signal.Reset(syscall.SIGTERM, os.Interrupt) // a relay's end takes its own time
+	post, err := platform.ReadPost(v.File)
+	if err != nil {
+		return wrong{err}
+	}
+	if v.Name != "" {
+		post.Name = v.Name
+	}
+	if v.Listen != "" {
+		post.Listen = v.Listen
+	}
+	log := zerolog.New(os.Stdout).Level(zerolog.InfoLevel).With().Timestamp().Str("front", post.Name).Logger()
+	f, err := platform.Listen(post, v.File, log)
+	if err != nil {
+		return err
+	}
+	return f.Run(context.Background())
+}
+
 type checkVerb struct {
-	File string `arg:"" help:"Settings of a front end, or a day."`
+	File string `arg:"" help:"Settings of a front end, of a relay, or a day."`
 }
 
 func (v *checkVerb) Run() error {
 	_, root, err := conf.Open(v.File)
 	if err == nil {
-		if root.At("day").Given() {
+		switch {
+		case root.At("day").Given():
 			_, err = lab.ReadDay(v.File)
-		} else {
+		case root.At("known").Given() || root.At("channel").Given():
+			_, err = platform.ReadPost(v.File)
+		default:
 			_, err = conf.ReadFront(v.File)
 		}
 	}
--- a/internal/heath/codec.go
+++ b/internal/heath/codec.go
@@ -12,6 +12,7 @@
 	"strings"
 
 	"gullrail/front"
+	"gullrail/internal/terms"
 )
 
 // line is one message: its name and its parts, not yet read.
@@ -66,15 +67,15 @@
 }
 
 // A fieldError names the part of a line that could not be read.
-type fieldError struct{ field, what string }
+type fieldError = terms.FieldError
 
-func (e fieldError) Error() string { return "field " + e.field + ": " + e.what }
+func wrong(field, what string) fieldError { return fieldError{Field: field, What: what} }
 
 // The readers below panic with a fieldError; decode turns it into the run's one message.
 func (ln *line) text(key string) string {
 	s, ok := ln.find(key)
 	if !ok {
-		panic(fieldError{key, "missing"})
+		panic(wrong(key, "missing"))
 	}
 	return s
 }
@@ -82,7 +83,7 @@
 func (ln *line) whole(key string) int64 {
 	n, err := strconv.ParseInt(ln.text(key), 10, 64)
 	if err != nil {
-		panic(fieldError{key, "not a whole number"})
+		panic(wrong(key, "not a whole number"))
 	}
 	return n
 }
@@ -90,7 +91,7 @@
 func (ln *line) number(key string) float64 {
 	f, err := strconv.ParseFloat(ln.text(key), 64)
 	if err != nil || math.IsNaN(f) || math.IsInf(f, 0) {
-		panic(fieldError{key, "not a number"})
+		panic(wrong(key, "not a number"))
 	}
 	return f
 }
@@ -110,9 +111,6 @@
 	return ln.number(key)
 }
 
-// ticks turns milliseconds into tenths of them.
-func ticks(ms float64) int64 { return int64(math.Round(ms * float64(front.Ms))) }
-
 func millis(t int64) string {
 	return strconv.FormatFloat(float64(t)/float64(front.Ms), 'f', 1, 64)
 }
@@ -126,41 +124,30 @@
 func (ln *line) ending() front.Ending {
 	e, ok := endings[ln.text("rc")]
 	if !ok {
-		panic(fieldError{"rc", "unknown outcome"})
+		panic(wrong("rc", "unknown outcome"))
 	}
 	return e
 }
 
 // load reads a report by the columns of the settings; columns that no call uses are passed over.
-func (ln *line) load(columns []string) front.Load {
-	l := front.Untold
+func (ln *line) load(t *terms.Terms) front.Load {
 	row, ok := ln.find("report")
 	if !ok || row == "" || row == "-" {
-		return l
+		return front.Untold
 	}
 	vals := strings.Split(row, ",")
-	if len(vals) != len(columns) {
-		panic(fieldError{"report", "not as many values as report.columns"})
+	if len(vals) != len(t.Columns) {
+		panic(wrong("report", "not as many values as report.columns"))
 	}
-	for i, col := range columns {
+	i := -1
+	return t.Load(func(col string) (float64, bool) { // called for each column in its order
+		i++
 		v, err := strconv.ParseFloat(vals[i], 64)
 		if err != nil {
-			panic(fieldError{"report", "value of " + col + " is not a number"})
-		}
-		switch col {
-		case "inflight":
-			l.Streams = v
-		case "x0":
-			l.Link = v
-		case "x1":
-			l.Uplink = v
-		case "util":
-			if l.Link < 0 {
-				l.Link = v
-			}
+			panic(wrong("report", "value of "+col+" is not a number"))
 		}
-	}
-	return l
+		return v, true
+	})
 }
 
 // Run answers batches until the input ends.
--- a/internal/heath/heath_test.go
+++ b/internal/heath/heath_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"gullrail/front"
+	"gullrail/internal/terms"
 )
 
 const config = `{"balancers":1,"me":0,"zone":"a","localities":["a"],"shapes":["k"],"new-key":[{"x":1}],` +
@@ -95,18 +96,19 @@
 }
 
 func TestSettingsOfLiveTitlesMessagesAndReports(t *testing.T) {
-	set, _, err := terms(strings.NewReplacer(`"limits":{`, `"limits":{"peer-messages":true,`, `"report":{`, `"report":{"how":"piggyback",`,
+	t0, err := terms.Read(strings.NewReplacer(`"limits":{`, `"limits":{"peer-messages":true,`, `"report":{`, `"report":{"how":"piggyback",`,
 		`"rate-factor":[1]`, `"rate-factor":[1],"is-live":[true],"join-adds":0.3`).Replace(config))
 	if err != nil {
 		t.Fatal(err)
 	}
+	set := t0.Set
 	for name, want := range map[string]float64{"peers": 1, "reports.answers": 1, "product.live": 1, "join": 0.3} {
 		if v := set[name]; len(v) != 1 || v[0] != want {
 			t.Errorf("%s is %v", name, v)
 		}
 	}
-	if set, _, _ := terms(config); set["reports.answers"][0] != 0 || set["peers"] != nil || set["join"] != nil {
-		t.Errorf("not given, yet there: %v", set)
+	if plain, _ := terms.Read(config); plain.Set["reports.answers"][0] != 0 || plain.Set["peers"] != nil || plain.Set["join"] != nil {
+		t.Errorf("not given, yet there: %v", plain.Set)
 	}
 }
 
--- a/internal/heath/host.go
+++ b/internal/heath/host.go
@@ -11,12 +11,13 @@
 
 	"gullrail/choice"
 	"gullrail/front"
+	"gullrail/internal/terms"
 )
 
 // instance is one front end: its module and the numbers that stand for the wire's names.
 type instance struct {
 	mod     front.Chooser
-	names   names
+	terms   *terms.Terms
 	nodes   map[string]int
 	addr    []string
 	titles  map[string]int
@@ -88,7 +89,7 @@
 		if h.inBatch {
 			return fmt.Errorf("MARK: the batch before it has no EOB")
 		}
-		h.now, h.batch, h.inBatch, h.last, h.lineNo = ticks(ln.number("ts-ms")), ln.whole("n"), true, -1, 1
+		h.now, h.batch, h.inBatch, h.last, h.lineNo = terms.Ticks(ln.number("ts-ms")), ln.whole("n"), true, -1, 1
 		return nil
 	case "EOB":
 		if !h.inBatch {
@@ -133,7 +134,7 @@
 
 func readRow(ln *line) row {
 	r := row{addr: ln.text("node"), zone: ln.text("campus"), kind: ln.text("generation-hw"),
-		cell: int(ln.whole("place")), started: ticks(ln.numberOr("ready-at-ms", 0)),
+		cell: int(ln.whole("place")), started: terms.Ticks(ln.numberOr("ready-at-ms", 0)),
 		weight: ln.numberOr("heft", 1)}
 	switch p := ln.text("phase"); p {
 	case "ready":
@@ -143,7 +144,7 @@
 	case "gone":
 		r.phase = front.Gone
 	default:
-		panic(fieldError{"phase", "unknown: " + p})
+		panic(wrong("phase", "unknown: "+p))
 	}
 	return r
 }
@@ -151,13 +152,13 @@
 func (h *host) spawn() error {
 	seed, err := strconv.ParseUint(h.ln.text("random-seed"), 10, 64)
 	if err != nil {
-		return fmt.Errorf("SPAWN: %w", fieldError{"random-seed", "not a whole number"})
+		return fmt.Errorf("SPAWN: %w", wrong("random-seed", "not a whole number"))
 	}
-	set, nm, err := terms(h.ln.text("config"))
+	t, err := terms.Read(h.ln.text("config"))
 	if err != nil {
 		return fmt.Errorf("SPAWN: %w", err)
 	}
-	h.at[h.who] = &instance{mod: choice.New(set, seed), names: nm, nodes: map[string]int{},
+	h.at[h.who] = &instance{mod: choice.New(t.Set, seed), terms: t, nodes: map[string]int{},
 		titles: map[string]int{}, viewers: map[string]int{}, plays: map[int64]front.Handle{}}
 	return nil
 }
@@ -175,7 +176,7 @@
 func known(m map[string]int, field, s string) int {
 	n, ok := m[s]
 	if !ok {
-		panic(fieldError{field, "unknown name " + clip(s)})
+		panic(wrong(field, "unknown name "+clip(s)))
 	}
 	return n
 }
@@ -191,22 +192,24 @@
 // want reads what INCOMING and EXISTING say of a viewer.
 func (in *instance) want(ln *line, now int64) front.Want {
 	bits := ln.wholeOr("bits", 0)
-	w := front.Want{
-		Product: known(in.names.products, "service", ln.text("service")),
-		Title:   number(in.titles, ln.text("asset")),
-		Key:     front.Key(ln.text("asset")),
-		Viewer:  number(in.viewers, ln.text("object")),
-		Limit:   now + ticks(ln.numberOr("left-ms", 0)),
-		Home:    int(ln.numberOr("start-cell", 0)),
-		Copies:  int(ln.numberOr("span", 0)),
-		Top:     int(ln.numberOr("best-rung", 0)),
-		Moved:   bits&8 != 0,
-		Again:   bits&16 != 0,
+	product := known(in.terms.Products, "service", ln.text("service"))
+	asset := ln.text("asset")
+	r := terms.Request{
+		Product:   product,
+		Title:     number(in.titles, asset),
+		TitleName: asset,
+		Viewer:    number(in.viewers, ln.text("object")),
+		LeftMs:    ln.numberOr("left-ms", 0),
+		Home:      int(ln.numberOr("start-cell", 0)),
+		Copies:    int(ln.numberOr("span", 0)),
+		Top:       int(ln.numberOr("best-rung", 0)),
+		Moved:     bits&8 != 0,
+		Again:     bits&16 != 0,
 	}
 	if bits&1 != 0 {
-		w.Length = ticks(ln.numberOr("hint-ms", 0))
+		r.HintMs = ln.numberOr("hint-ms", 0)
 	}
-	return w
+	return r.Want(now)
 }
 
 func (h *host) event() error {
@@ -237,11 +240,11 @@
 	case "FROM_PEER":
 		b, err := base64.StdEncoding.DecodeString(strings.TrimPrefix(ln.text("bytes"), "-"))
 		if err != nil {
-			return fmt.Errorf("FROM_PEER: %w", fieldError{"bytes", "not base64"})
+			return fmt.Errorf("FROM_PEER: %w", wrong("bytes", "not base64"))
 		}
 		h.encode(in, in.mod.Heard(now, int(ln.whole("by")), b))
 	case "PING_RESULT":
-		how, load := ln.ending(), ln.load(in.names.columns)
+		how, load := ln.ending(), ln.load(in.terms)
 		h.encode(in, in.mod.Probed(now, in.node(ln.text("node")), how, load))
 	case "ACK_FIRST", "UPDATE_OF", "RESPONSE", "CLIENT_LEFT":
 		job := ln.whole("job")
@@ -258,7 +261,7 @@
 			h.encode(in, in.mod.Left(now, hd))
 		case "RESPONSE":
 			how, over := ln.ending(), ln.wholeOr("no-more", 0) == 1
-			load := ln.load(in.names.columns)
+			load := ln.load(in.terms)
 			h.encode(in, in.mod.Ended(now, hd, int(ln.whole("send-no")), how, over, load))
 			if over {
 				delete(in.plays, job)
@@ -269,18 +272,7 @@
 }
 
 func (in *instance) update(ln *line, now int64, hd front.Handle) *front.Result {
-	level := ln.number("level")
-	switch ln.whole("topic") {
-	case 1:
-		return in.mod.Delivered(now, hd, level)
-	case 2:
-		return in.mod.Told(now, hd, int(level))
-	case 3:
-		return in.mod.Asked(now, hd, front.Load{Streams: -1, Link: level, Uplink: -1})
-	case 4:
-		return in.mod.Asked(now, hd, front.Load{Streams: -1, Link: -1, Uplink: level})
-	}
-	return nil
+	return terms.Note(in.mod, now, hd, int(ln.whole("topic")), ln.number("level"))
 }
 
 func (in *instance) bind(job int64, hd front.Handle) {
@@ -302,9 +294,8 @@
 	}
 	in.list = in.list[:0]
 	for _, r := range h.pages[page] {
-		in.list = append(in.list, front.Node{Index: in.node(r.addr), Phase: r.phase,
-			Kind: known(in.names.kinds, "generation-hw", r.kind), Zone: known(in.names.zones, "campus", r.zone),
-			Cell: r.cell, Started: r.started, Weight: r.weight, Key: front.Key(r.addr)})
+		in.list = append(in.list, terms.Row{Phase: r.phase, Name: r.addr, Kind: known(in.terms.Kinds, "generation-hw", r.kind),
+			Zone: known(in.terms.Zones, "campus", r.zone), Cell: r.cell, Started: r.started, Weight: r.weight}.Node(in.node(r.addr)))
 	}
 	h.encode(in, in.mod.Nodes(h.now, in.list, how != "update"))
 	return nil
--- a/session/numbers.go
+++ b/internal/numbers/numbers.go
@@ -1,8 +1,9 @@
-package session
+// Package numbers gives names small numbers.
+package numbers
 
-// numbers gives names small numbers, and gives a number back once nothing refers to it and
+// Numbers gives names small numbers, and gives a number back once nothing refers to it and
 // may forget says so. Guards against tables that grow with every name ever met.
-type numbers struct {
+type Numbers struct {
 	at    map[string]int
 	names []string
 	refs  []int
@@ -10,10 +11,11 @@
 	idle  []int // without references, the longest idle first; a number may stand here twice
 }
 
-func newNumbers() *numbers { return &numbers{at: map[string]int{}} }
+// New makes a table that knows no name.
+func New() *Numbers { return &Numbers{at: map[string]int{}} }
 
-// hold returns a name's number and counts one reference.
-func (n *numbers) hold(name string) int {
+// Hold returns a name's number and counts one reference.
+func (n *Numbers) Hold(name string) int {
 	i, ok := n.at[name]
 	if !ok {
 		if k := len(n.free); k > 0 {
@@ -29,16 +31,16 @@
 	return i
 }
 
-// release takes a reference away.
-func (n *numbers) release(i int) {
+// Release takes a reference away.
+func (n *Numbers) Release(i int) {
 	if n.refs[i]--; n.refs[i] == 0 {
 		n.idle = append(n.idle, i)
 	}
 }
 
-// sweep gives back idle numbers that may be forgotten, looking at so many at most; the others
+// Sweep gives back idle numbers that may be forgotten, looking at so many at most; the others
 // come round again.
-func (n *numbers) sweep(most int, forget func(i int) bool) {
+func (n *Numbers) Sweep(most int, forget func(i int) bool) {
 	looked := min(most, len(n.idle))
 	for _, i := range n.idle[:looked] {
 		switch {
@@ -53,3 +55,6 @@
 	}
 	n.idle = n.idle[:copy(n.idle, n.idle[looked:])]
 }
+
+// Len is how many names have a number.
+func (n *Numbers) Len() int { return len(n.at) }
--- a/session/core.go
+++ b/session/core.go
@@ -11,6 +11,7 @@
 	"strconv"
 
 	"gullrail/front"
+	"gullrail/internal/numbers"
 	"gullrail/ledger"
 	"gullrail/parting"
 	"gullrail/pulse"
@@ -222,8 +223,8 @@
 	plays    map[string]*play
 	places   []*play // by place of the handle
 	asking   map[string]*play
-	titles   *numbers
-	viewers  *numbers
+	titles   *numbers.Numbers
+	viewers  *numbers.Numbers
 	nodes    []node
 	nodeAt   map[string]int
 	freed    []int // node numbers that may name another
@@ -248,7 +249,7 @@
 // the pauses between dials. Products may be nil: all then count as paid.
 func NewCore(now int64, name string, epoch int64, mod front.Chooser, out Carrier, products Products, seed uint64) *Core {
 	return &Core{products: products, name: name, epoch: epoch, mod: mod, out: out, watch: pulse.New(now, seed), fleet: roster.New(), wakeAt: now,
-		plays: map[string]*play{}, asking: map[string]*play{}, unheard: map[string]*play{}, titles: newNumbers(), viewers: newNumbers(),
+		plays: map[string]*play{}, asking: map[string]*play{}, unheard: map[string]*play{}, titles: numbers.New(), viewers: numbers.New(),
 		nodeAt: map[string]int{}, ended: map[string]finished{}}
 }
 
@@ -258,7 +259,7 @@
 // Counts returns a copy of what was seen so far.
 func (c *Core) Counts() Counts {
 	s := c.counts
-	s.InHand, s.Viewers, s.Titles, s.Nodes = len(c.plays), len(c.viewers.at), len(c.titles.at), len(c.nodeAt)
+	s.InHand, s.Viewers, s.Titles, s.Nodes = len(c.plays), c.viewers.Len(), c.titles.Len(), len(c.nodeAt)
 	s.Remembered = len(c.ended)
 	return s
 }
@@ -400,8 +401,8 @@
 		return
 	}
 	c.n++
-	p := &play{id: fmt.Sprintf("%s-%x-%d", c.name, c.epoch, c.n), ask: a, title: c.titles.hold(a.Title),
-		viewer: c.viewers.hold(a.Viewer)}
+	p := &play{id: fmt.Sprintf("%s-%x-%d", c.name, c.epoch, c.n), ask: a, title: c.titles.Hold(a.Title),
+		viewer: c.viewers.Hold(a.Viewer)}
 	c.plays[p.id], c.asking[key] = p, p
 	c.counts.Taken++
 	h, res := c.mod.Take(now, front.Want{Product: a.Product, Title: p.title, Viewer: p.viewer, Limit: a.Limit,
@@ -634,7 +635,7 @@
 func (c *Core) adopt(now int64, at int, life, mark int64, r Running) *play {
 	c.counts.Adopted++
 	p := &play{id: r.Play, stage: playing, node: at, life: life, mark: mark, try: r.Try, rung: r.Rung, seq: r.Seq,
-		adopted: true, title: c.titles.hold(r.Title), viewer: c.viewers.hold(r.Viewer),
+		adopted: true, title: c.titles.Hold(r.Title), viewer: c.viewers.Hold(r.Viewer),
 		ask: Ask{Product: r.Product, Title: r.Title, Home: r.Home, Copies: r.Copies, Viewer: r.Viewer, Top: r.Top,
 			Length: r.Left}}
 	c.plays[p.id] = p
@@ -816,8 +817,8 @@
 			}
 		}
 	}
-	c.viewers.sweep(sweepMost, func(i int) bool { return c.mod.ForgetViewer(now, i) })
-	c.titles.sweep(sweepMost, func(int) bool { return true })
+	c.viewers.Sweep(sweepMost, func(i int) bool { return c.mod.ForgetViewer(now, i) })
+	c.titles.Sweep(sweepMost, func(int) bool { return true })
 	c.forget(now)
 }
 
@@ -997,8 +998,8 @@
 	}
 	delete(c.plays, p.id)
 	c.places[p.h.Place] = nil
-	c.titles.release(p.title)
-	c.viewers.release(p.viewer)
+	c.titles.Release(p.title)
+	c.viewers.Release(p.viewer)
 	if p.stage == playing { // nobody holds a token of another
 		c.remember(now, p.id, how)
 		if p.ask.Follow != nil {
