--- a/choice/book.go
+++ b/choice/book.go
@@ -79,6 +79,16 @@
 	return n
 }
 
+// playsElsewhere tells that another own play of a play's title plays.
+func (f *Front) playsElsewhere(p *ply) bool {
+	for i := range f.plays.Len() {
+		if _, o := f.plays.At(i); o != nil && o != p && o.stage == playing && o.want.Title == p.want.Title {
+			return true
+		}
+	}
+	return false
+}
+
 // prefer keeps the candidates that pass, or all if none does.
 func (f *Front) prefer(pass func(c *cand) bool) {
 	k := 0
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -195,15 +195,14 @@
 	if how != front.Served && how != front.NotSent && was != deserted {
 		f.viewers[p.want.Viewer].left, f.viewers[p.want.Viewer].leftAt = at+1, now
 	}
-	switch {
-	case was != playing:
-		f.judge(now, at, how)
-		if was == settingUp && how != front.Served && how != front.NotSent {
-			f.sample(f.nodes[at].kind, -1)
-		}
-	case how == front.Lost:
+	// An error in a title that plays nowhere may be the title's: guards against nodes blamed for what viewers
+	// ask wrongly. It could harm where a node is sick for rare titles only.
+	if (was != playing || how == front.Lost) && (how != front.Errored || f.playsElsewhere(p)) {
 		f.judge(now, at, how)
 	}
+	if was == settingUp && how != front.Served && how != front.NotSent {
+		f.sample(f.nodes[at].kind, -1)
+	}
 	if over || was != settingUp {
 		f.plays.Drop(h)
 		return f.end(now)
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -896,3 +896,19 @@
 		}
 	}
 }
+
+func TestErrorBlamesTheNodeOnlyForATitleThatPlays(t *testing.T) {
+	for _, elsewhere := range []bool{false, true} {
+		f := fleet(2)
+		if elsewhere {
+			playingAt(f, 1, 0, 1, now-sec)
+		}
+		w := want(0)
+		w.Copies = 1
+		h, r := f.Take(now, w)
+		f.Ended(now, h, sole(t, r).Try, front.Errored, false, front.Untold)
+		if skipped := f.nodes[0].skipUntil > now; skipped != elsewhere {
+			t.Errorf("title plays elsewhere %v: node skipped %v", elsewhere, skipped)
+		}
+	}
+}
