What a cold link gave when short is not remembered once it is warm

Checked by a probe of raise (choice.go) each 10 s: at a node set up new 31 of 42 plays stood below their best rung, room 435 of 68896 kB a second, asked 0.26, nothing short, warm; its memory of a shortage (0.22 of its capacity, 16 s old) took the room. Change: no memory of a link that was cold when the note was made.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -952,7 +952,8 @@
 	if n.shortFrom == 0 {
 		n.shortFrom = now
 	}
-	if f.rackShort(now, at, share) {
+	// What a cold link gave, or one warmed while the note was on its way, says nothing of what it gives warm.
+	if f.rackShort(now, at, share) || f.warmth(now-settle-int64(f.val("note.lag")), at) < 1 {
 		n.seen = memory{}
 	} else {
 		f.remember(now, &n.seen, share*f.linkAsked(now, at)*f.capacity(now, at))
