Where all holders are skipped, one that told its load since it failed is tried

Checked by a probe of choose (choice.go): 669 times no candidate, every holder ready, paced, not full, asked 0.1 to 0.8, skipped for up to 10 s after a connection that broke under a set-up, while its reports came in 30 to 1500 ms old. Ruled out: room, cold turns, the list. Change: a skipped holder that told its load since it failed is a candidate of last resort, not one that refused as full. The test was seen to fail without it.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -1,12 +1,11 @@
 // Package choice decides where plays go, at which rung, and when to let go of them.
 //
-// The front end makes one Front with New and tells it all it learns through the calls of
-// front.Chooser: package front holds that interface and its words. Each call returns the orders
-// to carry out, the nodes to probe, messages to other fronts and when to call Wake at the latest.
-// Nothing else is read: no clock, no wire. Messages may all be lost: no rule rests on one.
-// state.go holds the records, book.go enters plays and walks lists; neither decides.
-// docs/design.md has the reasons, docs/oncall.md the symptoms.
-// In this order: constants, calls, placing, account and messages, rungs in play, health, the six rules.
+// The front end makes one Front with New and tells it all it learns through the calls of front.Chooser:
+// package front holds that interface and its words. Each call returns the orders to carry out, the nodes to
+// probe, messages to other fronts and when to call Wake at the latest. Nothing else is read: no clock, no
+// wire. Messages may all be lost: no rule rests on one. state.go holds the records, book.go enters plays
+// and walks lists; neither decides. docs/design.md has the reasons, docs/oncall.md the symptoms. In this
+// order: constants, calls, placing, account and messages, rungs in play, health, the six rules.
 package choice
 
 import (
@@ -90,12 +89,11 @@
 
 // New makes a front from its settings, a map of names to numbers, and a seed.
 func New(set map[string][]float64, seed uint64) *Front {
-	f := &Front{set: set, rnd: pcg.New(seed), probes: probeStore, born: math.MaxInt64}
+	f := &Front{set: set, rnd: pcg.New(seed), probes: probeStore, born: math.MaxInt64, keys: map[uint32]int{}}
 	f.racks = make([]rack, max(1, int(f.val("racks"))))
 	f.cells = make([][]int, max(1, int(f.val("cells"))))
 	f.kinds = make([]kind, len(set["kind.streams"]))
 	f.lifts = f.earnings()
-	f.keys = map[uint32]int{}
 	return f
 }
 
@@ -514,8 +512,9 @@
 	return min(p.want.Limit, now+int64(firstShare*float64(target-now)))
 }
 
-// choose is the feature-greedy choice among the holders. It returns -1 if none can take the play
-// now, and whether to wait as one soon may.
+// choose is the feature-greedy choice among the holders. It returns -1 if none can take the play now, and
+// whether to wait as one soon may. Where all are skipped, one that told its load since it failed is tried:
+// guards against plays declined for connections that broke. Harm: one that errs is tried too.
 func (f *Front) choose(now int64, p *ply) (at int, wait bool) {
 	holdUntil := p.taken + int64(holdShare*f.of("product.target", p.want.Product, 0))
 	held := f.holders(p)
@@ -540,7 +539,7 @@
 				f.cold = i
 			}
 		}
-		if full || now < f.nodes[i].skipUntil || !paced {
+		if n := &f.nodes[i]; full || !paced || now < n.skipUntil && n.link.at <= n.failedAt {
 			wait = wait || now < holdUntil && f.nodes[i].skipUntil < holdUntil
 			continue
 		}
@@ -550,6 +549,7 @@
 	if len(f.cands) == 0 {
 		return -1, wait
 	}
+	f.prefer(func(c *cand) bool { return now >= f.nodes[c.at].skipUntil })
 	if v := &f.viewers[p.want.Viewer]; now-v.leftAt < skipFor {
 		f.prefer(func(c *cand) bool { return c.at != v.left-1 })
 	}
@@ -1118,12 +1118,12 @@
 	switch how {
 	case front.TurnedAway:
 		n.skipUntil = max(n.skipUntil, now+refusedFor<<min(n.strikes, doublings))
-		n.strikes++
+		n.failedAt, n.strikes = n.skipUntil, n.strikes+1
 	case front.NoConnect, front.Lost: // it may come back cold before the list says so
 		n.lostAt = now
 		fallthrough
 	case front.Errored, front.NoAnswer:
-		n.skipUntil = now + skipFor<<min(n.strikes, 1)
+		n.skipUntil, n.failedAt = now+skipFor<<min(n.strikes, 1), now
 		n.strikes++
 	}
 }
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -912,3 +912,22 @@
 		}
 	}
 }
+
+func TestASkippedNodeThatSpeaksIsTriedBeforeAPlayIsDeclined(t *testing.T) {
+	for _, c := range []struct {
+		how   front.Ending
+		spoke bool
+		want  front.Do
+	}{{front.Lost, true, front.Place}, {front.Lost, false, front.Decline}, {front.TurnedAway, true, front.Decline}} {
+		f := fleet(1)
+		f.judge(now, 0, front.Lost)
+		f.judge(now, 0, c.how)
+		if c.spoke {
+			f.report(now+sec, 0, front.Load{Streams: -1, Link: 0.5, Uplink: -1}, 0, 0)
+		}
+		_, r := f.Take(now+2*sec, want(0))
+		if o := sole(t, r); o.Do != c.want {
+			t.Errorf("%+v: got %v", c, o.Do)
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -75,6 +75,7 @@
 	probing    bool
 	strikes    int // failures or refusals in a row
 	skipUntil  int64
+	failedAt   int64  // last failure; of one that refused, when it may be asked again
 	lostAt     int64  // last seen to break
 	backAt     int64  // first play after that
 	slot       int64  // last cold turn used
