--- a/internal/heath/codec.go
+++ b/internal/heath/codec.go
@@ -139,9 +139,7 @@
 	if len(vals) != len(t.Columns) {
 		panic(wrong("report", "not as many values as report.columns"))
 	}
-	i := -1
-	return t.Load(func(col string) (float64, bool) { // called for each column in its order
-		i++
+	return t.Load(func(i int, col string) (float64, bool) {
 		v, err := strconv.ParseFloat(vals[i], 64)
 		if err != nil {
 			panic(wrong("report", "value of "+col+" is not a number"))
--- a/internal/terms/terms.go
+++ b/internal/terms/terms.go
@@ -248,11 +248,12 @@
 	return front.Node{Index: index, Phase: r.Phase, Kind: r.Kind, Zone: r.Zone, Cell: r.Cell, Started: r.Started, Weight: r.Weight, Key: front.Key(r.Name)}
 }
 
-// Load is a report of which a field is told by its column; fields that no call uses are passed over.
-func (t *Terms) Load(value func(column string) (float64, bool)) front.Load {
+// Load is a report of which a field is told by its column and that column's place; fields that no call uses are
+// passed over.
+func (t *Terms) Load(value func(i int, column string) (float64, bool)) front.Load {
 	l := front.Untold
-	for _, col := range t.Columns {
-		v, ok := value(col)
+	for i, col := range t.Columns {
+		v, ok := value(i, col)
 		if !ok {
 			continue
 		}
