--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -79,18 +79,18 @@
 
 func (v *relayVerb) Run() error {
 	signal.Reset(syscall.SIGTERM, os.Interrupt) // a relay's end takes its own time
-	post, err := platform.ReadPost(v.File)
+	opts, err := platform.ReadOptions(v.File)
 	if err != nil {
 		return wrong{err}
 	}
 	if v.Name != "" {
-		post.Name = v.Name
+		opts.Name = v.Name
 	}
 	if v.Listen != "" {
-		post.Listen = v.Listen
+		opts.Listen = v.Listen
 	}
-	log := zerolog.New(os.Stdout).Level(zerolog.InfoLevel).With().Timestamp().Str("front", post.Name).Logger()
-	f, err := platform.Listen(post, v.File, log)
+	log := zerolog.New(os.Stdout).Level(zerolog.InfoLevel).With().Timestamp().Str("front", opts.Name).Logger()
+	f, err := platform.Listen(opts, v.File, log)
 	if err != nil {
 		return err
 	}
@@ -108,7 +108,7 @@
 		case root.At("day").Given():
 			_, err = lab.ReadDay(v.File)
 		case root.At("known").Given() || root.At("channel").Given():
-			_, err = platform.ReadPost(v.File)
+			_, err = platform.ReadOptions(v.File)
 		default:
 			_, err = conf.ReadFront(v.File)
 		}
