--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -75,6 +75,7 @@
 	File   string `name:"config" env:"RELAY_CONFIG" required:"" help:"The configuration (JSON)."`
 	Name   string `env:"RELAY_NAME" help:"In place of the configuration's name."`
 	Listen string `env:"RELAY_LISTEN" help:"In place of the configuration's address."`
+	Log    string `env:"RELAY_LOG" enum:"debug,info,warn,error" default:"info" help:"The least level that is logged; debug shows each step of a play."`
 }
 
 func (v *relayVerb) Run() error {
@@ -89,7 +90,11 @@
 	if v.Listen != "" {
 		opts.Listen = v.Listen
 	}
-	log := zerolog.New(os.Stdout).Level(zerolog.InfoLevel).With().Timestamp().Str("front", opts.Name).Logger()
+	level, err := zerolog.ParseLevel(v.Log)
+	if err != nil {
+		return wrong{err}
+	}
+	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("front", opts.Name).Logger()
 	f, err := platform.Listen(opts, v.File, log)
 	if err != nil {
 		return err
