--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -367,6 +367,49 @@
 	}
 }
 
+// TestColdNodesAreRampedByAllFronts holds what all fronts together may send to a cold node in any window to the budget, with what the
+// protocol puts down to chance, however many they are: all ask all the time, some are started anew inside the turn that they
+// have used, and a third learn of the start late.
+func TestColdNodesAreRampedByAllFronts(t *testing.T) {
+	for _, fronts := range []int{2, 30, 300} {
+		var all []*Front
+		for i := range fronts {
+			f := fleet(1, func(s map[string][]float64) {
+				s["fronts"], s["front"] = []float64{float64(fronts)}, []float64{float64(i)}
+			})
+			f.nodes[0].started, f.nodes[0].slot = now, -1
+			all = append(all, f)
+		}
+		one, window, sent, restarts, anew := all[0], []int64{}, 0, 0, map[int]bool{}
+		over, lasts := one.val("fall.over"), one.val("cold.lasts")
+		for at := int64(now); at < now+int64(lasts); at += 100 {
+			for i, f := range all {
+				if i%3 == 0 && at < now+2*sec { // told late
+					continue
+				}
+				if f.pace(at, 0) {
+					f.nodes[0].slot, _ = f.turnOf(at, 0)
+					window = append(window, at)
+					sent++
+					if !anew[i] && sent%3 == 0 { // it knows nothing of the turn that it has used
+						f.nodes[0].slot, anew[i] = -1, true
+						restarts++
+					}
+				}
+			}
+			window = since(window, at-int64(over))
+			share := one.warmth(max(now, at-int64(over)), 0) // of the window's beginning, the least in it
+			n := one.val("fall.multiple") * one.of("kind.streams", 0, 0) / lasts * share * over
+			if most := n + 2*math.Sqrt(n) + 2; float64(len(window)) > most {
+				t.Fatalf("%d fronts, %.1f s after the start: %d in one window, %.1f at most", fronts, float64(at-now)/float64(sec), len(window), most)
+			}
+		}
+		if sent < 6 || restarts == 0 {
+			t.Errorf("%d fronts: %d sent, %d restarts", fronts, sent, restarts)
+		}
+	}
+}
+
 func TestBrokenNodeComesBackCold(t *testing.T) {
 	f := fleet(1)
 	f.judge(now, 0, front.Lost)
