Audit: a seat is free as its viewer leaves, and an end read before its set-up is no doubling

The tape now has the viewer's leave, written before it is sent, and the seat is free from there on: earlier than that no front can give it on. In the same way a set-up that its node read after its own end was counted as a second one; it now counts from its end, so that a paid play set up again behind one is caught, which it was not.

--- a/lab/audit/audit.go
+++ b/lab/audit/audit.go
@@ -62,10 +62,11 @@
 }
 
 type audit struct {
-	set    *conf.Service
-	lines  []tape.Line
-	rep    *Report
-	breaks [6][]string
+	set     *conf.Service
+	lines   []tape.Line
+	crossed map[int]bool // ends that a node read before the set-ups they end, and these set-ups
+	rep     *Report
+	breaks  [6][]string
 }
 
 func (a *audit) broken(rule int, format string, args ...any) {
@@ -74,7 +75,7 @@
 
 // Check audits a tape. Lines must be in the order of their times, as a Tape records them.
 func Check(set *conf.Service, lines []tape.Line) *Report {
-	a := &audit{set: set, lines: lines, rep: &Report{}}
+	a := &audit{set: set, lines: lines, crossed: crossed(lines), rep: &Report{}}
 	a.answers()
 	a.allocations()
 	a.drains()
@@ -89,6 +90,31 @@
 	return a.rep
 }
 
+// crossed finds set-ups whose end their node read first, as it came on another connection: such a set-up was sent before
+// its end, wherever it stands on the tape, and is no further attempt. Each end stands for one set-up only.
+func crossed(lines []tape.Line) map[int]bool {
+	type attempt struct {
+		play, node string
+		try        int
+	}
+	both, ends, seen := map[int]bool{}, map[attempt]int{}, map[attempt]bool{}
+	for i, l := range lines {
+		this := attempt{l.Play, l.Node, l.Try}
+		switch l.What {
+		case tape.End:
+			if !seen[this] {
+				ends[this] = i
+			}
+		case tape.SetUp:
+			if end, ok := ends[this]; ok && !seen[this] {
+				both[end], both[i] = true, true
+			}
+			seen[this] = true
+		}
+	}
+	return both
+}
+
 func (a *audit) product(name string) *conf.Product {
 	if i, ok := a.set.ProductNumber(name); ok {
 		return &a.set.Products[i]
@@ -266,6 +292,9 @@
 	for i, l := range a.lines {
 		switch l.What {
 		case tape.SetUp:
+			if a.crossed[i] { // entered with its end
+				continue
+			}
 			s := plays[l.Play]
 			if s == nil {
 				plays[l.Play] = &state{line: i, try: l.Try, node: l.Node, out: true}
@@ -288,7 +317,9 @@
 			}
 			s.line, s.try, s.node, s.out = i, l.Try, l.Node, true
 		case tape.Started, tape.Errored, tape.Dropped, tape.End:
-			if s := plays[l.Play]; s != nil && s.try == l.Try {
+			if s := plays[l.Play]; a.crossed[i] && (s == nil || s.try < l.Try) {
+				plays[l.Play] = &state{line: i, try: l.Try, node: l.Node, mayHave: i + 1}
+			} else if s != nil && s.try == l.Try {
 				s.out, s.mayHave = false, i+1
 			}
 		case tape.Refused:
@@ -426,7 +457,7 @@
 			if l.Rung < p.Floor {
 				a.broken(5, "line %d: play %s of %s at rung %d, under its floor of %d", i+1, l.Play, l.Product, l.Rung, p.Floor)
 			}
-			if l.What == tape.Rung {
+			if l.What == tape.Rung || a.crossed[i] {
 				continue
 			}
 			free(l.Play)
@@ -445,6 +476,8 @@
 		case tape.Crash, tape.Fell:
 			freeAll(func(h hold) bool { return h.node == l.Node })
 		case tape.Killed: // its plays are handed over to its next life, or end
+		case tape.Leave: // its front frees a seat as it sends the end of the play, which its node may read much later
+			free(l.Play)
 		case tape.Ask: // a viewer who comes back to the same front as its node does not deliver ends what it had
 			if h, ok := held[l.Play]; ok && l.Note == "broken" && h.seat.front == l.Front {
 				free(l.Play)
--- a/lab/audit/audit_test.go
+++ b/lab/audit/audit_test.go
@@ -155,6 +155,40 @@
 			return s.node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(1, tape.SetUp, "n", "q", 0, "paid", 1).
 				node(100, tape.SetUp, "n", "r", 0, "paid", 1).node(5, tape.End, "n", "p", 0, "paid", 1).late()
 		}},
+		{"a third play once a viewer has left, its node slow to read so", 0, func(s *script) *script {
+			return s.node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(1, tape.SetUp, "n", "q", 0, "paid", 1).
+				add(100, tape.Line{What: tape.Leave, Play: "p"}).node(1, tape.SetUp, "n", "r", 0, "paid", 1).
+				node(500, tape.End, "n", "p", 0, "paid", 1).late()
+		}},
+		{"a third play before a viewer has left", 5, func(s *script) *script {
+			return s.node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(1, tape.SetUp, "n", "q", 0, "paid", 1).
+				node(100, tape.SetUp, "n", "r", 0, "paid", 1).add(1, tape.Line{What: tape.Leave, Play: "p"}).
+				node(500, tape.End, "n", "p", 0, "paid", 1).late()
+		}},
+		{"a third play as another's viewer has left", 5, func(s *script) *script {
+			return s.node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(1, tape.SetUp, "n", "q", 0, "paid", 1).
+				add(100, tape.Line{What: tape.Leave, Play: "o"}).node(1, tape.SetUp, "n", "r", 0, "paid", 1).
+				node(500, tape.End, "n", "p", 0, "paid", 1).late()
+		}},
+		{"two more plays once one viewer has left", 5, func(s *script) *script {
+			return s.node(1, tape.SetUp, "n", "p", 0, "paid", 1).node(1, tape.SetUp, "n", "q", 0, "paid", 1).
+				add(100, tape.Line{What: tape.Leave, Play: "p"}).node(1, tape.SetUp, "n", "r", 0, "paid", 1).
+				node(1, tape.SetUp, "n", "u", 0, "paid", 1).late()
+		}},
+		{"safe, a set-up read after its end and the next", 0, func(s *script) *script {
+			return s.ask(1, "safe").node(100, tape.End, "n", "p", 0, "safe", 1).node(1, tape.SetUp, "m", "p", 1, "safe", 1).
+				node(9, tape.Started, "m", "p", 1, "safe", 1).node(200, tape.SetUp, "n", "p", 0, "safe", 1).
+				node(1, tape.Dropped, "n", "p", 0, "safe", 1).answer(1, 1, 200, "p")
+		}},
+		{"paid, a set-up read after its end and the next", 2, func(s *script) *script {
+			return s.ask(1, "paid").node(100, tape.End, "n", "p", 0, "paid", 1).node(1, tape.SetUp, "m", "p", 1, "paid", 1).
+				node(9, tape.Started, "m", "p", 1, "paid", 1).node(200, tape.SetUp, "n", "p", 0, "paid", 1).
+				node(1, tape.Dropped, "n", "p", 0, "paid", 1).answer(1, 1, 200, "p")
+		}},
+		{"a set-up read after its end, and once more", 2, func(s *script) *script {
+			return s.ask(1, "safe").node(100, tape.End, "n", "p", 0, "safe", 1).node(1, tape.SetUp, "n", "p", 0, "safe", 1).
+				node(1, tape.Dropped, "n", "p", 0, "safe", 1).node(1, tape.SetUp, "n", "p", 0, "safe", 1)
+		}},
 		{"further allocations over the budget", 6, func(s *script) *script {
 			for i := range 3 {
 				s.node(100, tape.SetUp, "n", fmt.Sprint("p", i), 1, "safe", 1).node(1, tape.Refused, "n", fmt.Sprint("p", i), 1, "safe", 1)
--- a/lab/player.go
+++ b/lab/player.go
@@ -117,7 +117,7 @@
 		if res.status == http.StatusOK {
 			how := p.play(ctx, v, at, &res, began)
 			if how == over {
-				p.leave(ctx, res.manifest.Location)
+				p.leave(ctx, res.play, res.manifest.Location)
 				return
 			}
 			// Told twice that it is gone, it says so to a front that does not know yet.
@@ -231,8 +231,8 @@
 	return resp.StatusCode, resp.Header.Get(suggested)
 }
 
-// leave tells the front that the viewer is done.
-func (p *Players) leave(ctx context.Context, location string) {
+// leave tells the front that the viewer is done. It is recorded first: whatever the front does of it comes after the line.
+func (p *Players) leave(ctx context.Context, play, location string) {
 	u, err := url.Parse(location)
 	if err != nil {
 		return
@@ -242,6 +242,7 @@
 	if err != nil {
 		return
 	}
+	p.Tape.Add(tape.Line{What: tape.Leave, Play: play})
 	if resp, err := p.Client.Do(req); err == nil {
 		resp.Body.Close()
 	}
--- a/lab/socketplayer.go
+++ b/lab/socketplayer.go
@@ -84,6 +84,7 @@
 			return // its tries are used up
 		}
 		if p.fetchAll(ctx, v, play, began) {
+			p.Tape.Add(tape.Line{What: tape.Leave, Play: play.Grant().Play})
 			play.Leave()
 			return
 		}
--- a/lab/tape/tape.go
+++ b/lab/tape/tape.go
@@ -19,6 +19,7 @@
 	Ask      = "ask"      // a player sent a request: ID, Front, Viewer, Product, Title, LimitMs, Play it had before
 	Answer   = "answer"   // it was answered: ID, Status, Play; Status 0 is no answer, Note says why
 	Gone     = "gone"     // the player went away before an answer: ID
+	Leave    = "leave"    // the player is about to tell its front that it is done: Play
 	SetUp    = "setup"    // a node received a set-up: Node, Front, Play, Try, Product, Title, Rung
 	Started  = "started"  // and answered that it plays
 	Refused  = "refused"  // or that it never ran
