--- a/cmd/gullrail/main.go
+++ b/cmd/gullrail/main.go
@@ -96,6 +96,9 @@
 	}
 	log := zerolog.New(os.Stdout).Level(level).With().Timestamp().Str("front", opts.Name).Logger()
 	f, err := platform.Listen(opts, v.File, log)
+	if errors.Is(err, platform.ErrEnded) {
+		return nil // nothing was taken
+	}
 	if err != nil {
 		return err
 	}
