--- a/choice/choice.go
+++ b/choice/choice.go
@@ -260,7 +260,7 @@
 		news := f.report(now, p.node, load, lag, 0)
 		// The first figure after a start sets its rung right. Guards against starts on links that many fronts fill at once,
 		// of which this one knew nothing. Harm: one figure far too high holds a play down for upEvery.
-		if news && lag == reportLag && max(load.Link, load.Uplink) > overMark {
+		if news && p.stage == playing && lag == reportLag && max(load.Link, load.Uplink) > overMark {
 			f.setRung(now, h, p, min(p.rung, f.fit(now, p.node, p, f.room(now, p.node)+f.rate(p, p.rung))))
 		}
 		all := load.Uplink >= 0 || f.val("reports.uplink") == 0 // the uplink's figure follows the link's
