--- a/choice/choice.go
+++ b/choice/choice.go
@@ -258,8 +258,8 @@
 			lag += int64(f.val("note.lag"))
 		}
 		news := f.report(now, p.node, load, lag, 0)
-		// The first figure sets a start's rung right, but for fronts that had looked before it. Guards against starts
-		// on links that many fill at once, unknown to each. Harm: one figure far too high holds a play down.
+		// The first figure sets a start's rung right, but where fronts look before it. Guards against starts on
+		// links that many fill at once, unknown to each. Harm: one figure far too high holds a play down.
 		if news && !f.tells() && lag == reportLag && max(load.Link, load.Uplink) > overMark {
 			f.setRung(now, h, p, min(p.rung, f.fit(now, p.node, p, f.room(now, p.node)+f.rate(p, p.rung))))
 		}
