Only starts without a fresh figure are set right by their first

Cause: with few fronts a front knows a link by its own figures, of this second, and cut() already takes its part of an excess; the first figure then put the whole of it on the newest play (choice.go, Asked). Change: a start is blind only where its front's last figure of the node is older than freshFor, as for steps up. The test's new part fails where every start counts as blind.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -257,10 +257,11 @@
 		if p.stage == playing && now-p.started > reportLag { // not the note that comes at set-up
 			lag += int64(f.val("note.lag"))
 		}
+		blind := !f.tells() && lag == reportLag && now-f.nodes[p.node].link.at > freshFor
 		news := f.report(now, p.node, load, lag, 0)
-		// The first figure sets a start's rung right, but where fronts look before it. Guards against starts on
-		// links that many fill at once, unknown to each. Harm: one figure far too high holds a play down.
-		if news && !f.tells() && lag == reportLag && max(load.Link, load.Uplink) > overMark {
+		// The first figure sets a start right that knew none as fresh. Guards against starts on links that many
+		// fill at once, unknown to each. Harm: one figure far too high holds a play down.
+		if news && blind && max(load.Link, load.Uplink) > overMark {
 			f.setRung(now, h, p, min(p.rung, f.fit(now, p.node, p, f.room(now, p.node)+f.rate(p, p.rung))))
 		}
 		all := load.Uplink >= 0 || f.val("reports.uplink") == 0 // the uplink's figure follows the link's
--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -169,6 +169,12 @@
 			t.Errorf("asked %v: rung %d, not %d", asked, p.rung, rung)
 		}
 		f.Started(now+60*ms, h, 0)
+		g, _ := f.Take(now+sec, want(0)) // by a figure that is fresh
+		before := f.plays.Get(g).rung
+		f.Asked(now+sec+50*ms, g, front.Load{Streams: -1, Link: asked, Uplink: -1})
+		if p := f.plays.Get(g); p.rung != before {
+			t.Errorf("asked %v: a start that knew it went from rung %d to %d", asked, before, p.rung)
+		}
 		f.Asked(now+2*sec, h, front.Load{Streams: -1, Link: 1.9, Uplink: -1}) // a later one is for all there, by their parts
 		if p := f.plays.Get(h); p.rung != rung {
 			t.Errorf("asked %v, then 1.9: rung %d, not %d", asked, p.rung, rung)
