--- a/choice/choice_test.go
+++ b/choice/choice_test.go
@@ -169,12 +169,6 @@
 			t.Errorf("asked %v: rung %d, not %d", asked, p.rung, rung)
 		}
 		f.Started(now+60*ms, h, 0)
-		g, _ := f.Take(now+sec, want(0)) // by a figure that is fresh
-		before := f.plays.Get(g).rung
-		f.Asked(now+sec+50*ms, g, front.Load{Streams: -1, Link: asked, Uplink: -1})
-		if p := f.plays.Get(g); p.rung != before {
-			t.Errorf("asked %v: a start that knew it went from rung %d to %d", asked, before, p.rung)
-		}
 		f.Asked(now+2*sec, h, front.Load{Streams: -1, Link: 1.9, Uplink: -1}) // a later one is for all there, by their parts
 		if p := f.plays.Get(h); p.rung != rung {
 			t.Errorf("asked %v, then 1.9: rung %d, not %d", asked, p.rung, rung)
@@ -182,6 +176,22 @@
 	}
 }
 
+// One that knew a figure as fresh is one of all there: they step down by their parts.
+func TestAStartByAFreshFigureIsNotSetRight(t *testing.T) {
+	for age, rung := range map[int64]int{sec: 2, freshFor + 1: 0} {
+		f := fleet(1)
+		f.nodes[0].link, f.nodes[0].cutAt, f.nodes[0].cutFor = account{now, 0.1, 0}, now, 2
+		h, r := f.Take(now+age, want(0))
+		if o := sole(t, r); o.Rung != 2 {
+			t.Fatalf("at rung %d", o.Rung)
+		}
+		f.Asked(now+age, h, front.Load{Streams: -1, Link: 1.5, Uplink: -1})
+		if p := f.plays.Get(h); p.rung != rung {
+			t.Errorf("by a figure of %v s: rung %d, not %d", float64(age)/float64(sec), p.rung, rung)
+		}
+	}
+}
+
 // A link that sinks on before a step down can show is cut for again, by no more than it sank.
 func TestALinkThatSinksOnIsCutAgain(t *testing.T) {
 	f := fleet(1, alone, func(set map[string][]float64) { set["rung.rate"] = []float64{1, 2, 4} }) // fine steps
