--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -256,6 +257,7 @@
 	mu       sync.Mutex
 	listener net.Listener
 	node     *node
+	paused   chan struct{} // while no connection is accepted
 }
 
 func listenFor(n *node) (*socketOwner, error) {
@@ -271,12 +273,16 @@
 func (o *socketOwner) run(l net.Listener) {
 	for {
 		c, err := l.Accept()
+		o.mu.Lock()
+		n, paused := o.node, o.paused
+		o.mu.Unlock()
+		if err != nil && paused != nil {
+			<-paused
+			continue
+		}
 		if err != nil {
 			return
 		}
-		o.mu.Lock()
-		n := o.node
-		o.mu.Unlock()
 		n.accept(c)
 	}
 }
@@ -336,3 +342,37 @@
 	defer n.mu.Unlock()
 	return n.ended[id]
 }
+
+// cutOff makes the node unreachable for a time: it neither reads nor writes, and new connections never come up.
+func (o *socketOwner) cutOff(n *node, d time.Duration) {
+	l := o.listener.(*net.TCPListener)
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return
+	}
+	n.rec.logf("%s is cut off for %v", n.name, d)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	o.mu.Lock()
+	o.paused = make(chan struct{})
+	o.mu.Unlock()
+	l.SetDeadline(time.Unix(1, 0))
+	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
+	var fillers []net.Conn
+	for range 3 {
+		if c, err := net.DialTimeout("tcp", l.Addr().String(), 50*time.Millisecond); err == nil {
+			fillers = append(fillers, c)
+		}
+	}
+	time.Sleep(d)
+	for _, c := range fillers {
+		c.Close()
+	}
+	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 128) })
+	l.SetDeadline(time.Time{})
+	o.mu.Lock()
+	close(o.paused)
+	o.paused = nil
+	o.mu.Unlock()
+	n.rec.logf("%s is back", n.name)
+}
--- a/review/standin/relay.go
+++ b/review/standin/relay.go
@@ -48,6 +48,9 @@
 	}
 }
 
+// sockets is the descriptor limit of a front end; the pages set 256 to 1,024.
+var sockets = 512
+
 // writeConfig writes the configuration of a front end, with the events of the command channel up to now.
 func writeConfig(path, listen, channel string, events []listEvent) error {
 	var cmds []any
@@ -60,7 +63,7 @@
 		cmds = append(cmds, map[string]any{"cursor": e.number, "nodes": map[string]any{"revision": e.number, "complete": e.whole, "members": members}})
 	}
 	text, err := json.MarshalIndent(map[string]any{"name": "n0", "listen": listen, "seed": "8c1f30d27a5be964",
-		"limits":  map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": 512},
+		"limits":  map[string]any{"cores": 1.0, "memory_mb": 192, "sockets": sockets},
 		"channel": channel, "known": map[string]any{"cursor": events[len(events)-1].number, "cmds": cmds}, "settings": settings()}, "", " ")
 	if err != nil {
 		return err
