--- a/review/standin/spoilt.go
+++ b/review/standin/spoilt.go
@@ -21,7 +21,6 @@
 	var mu sync.Mutex
 	places := map[uint64][]*place{}
 	spoiled := 0
-	var nodes []*node
 	onSetUp := func(n *node, s *nodeSession, m binaryMessage) {
 		p := &place{node: n.name, from: time.Now()}
 		mu.Lock()
@@ -65,7 +64,7 @@
 			return err
 		}
 		go n.runNotes(stop)
-		nodes, entries = append(nodes, n), append(entries, listEntry{uint32(0xa1 + i), o.address(), ready, i % 3, 4000, 0})
+		entries = append(entries, listEntry{uint32(0xa1 + i), o.address(), ready, i % 3, 4000, 0})
 	}
 	b, err := startBed(e, entries...)
 	if err != nil {
