Review, case 3: a new node on a dead one's socket keeps that one's sessions open

Cause: the relay's dial after the reset reaches the new node before the list tells. addressReused is false while the old node has any connection, and test dials keep one open for good.

Nothing outside review/.

--- a/review/standin/explore.go
+++ b/review/standin/explore.go
@@ -34,6 +34,7 @@
 	over   map[uint64]time.Time // sessions that stood: when they ended
 	silent map[uint64]bool      // no release could be sent
 	bad    []string
+	goneAt map[uint64]time.Time // when its client gave a set-up up or closed its connection
 	rec    *record
 }
 
@@ -61,7 +62,7 @@
 		defer rmu.Unlock()
 		return time.Duration(a+rng.IntN(b-a+1)) * time.Millisecond
 	}
-	tr := &truth{tries: map[uint64][]*tried{}, over: map[uint64]time.Time{}, silent: map[uint64]bool{}, rec: e.rec}
+	tr := &truth{tries: map[uint64][]*tried{}, over: map[uint64]time.Time{}, silent: map[uint64]bool{}, goneAt: map[uint64]time.Time{}, rec: e.rec}
 
 	var onSetUp setUpFunc = func(n *node, s *nodeSession, m binaryMessage) {
 		wait, _ := strconv.Atoi(m.params[codeWait])
@@ -87,6 +88,10 @@
 				}
 			}
 		}
+		if at := tr.goneAt[s.id]; !at.IsZero() && time.Since(at) > 150*time.Millisecond {
+			gone := time.Since(at)
+			defer tr.violate("session %016x is set up at %s %v after its client has gone", s.id, n.name, gone)
+		}
 		tr.tries[s.id] = append(tr.tries[s.id], a)
 		tr.mu.Unlock()
 		s.onDrop = func() {
@@ -325,9 +330,33 @@
 				}
 				c.mu.Unlock()
 				if s.gaveUp {
+					tr.mu.Lock()
+					tr.goneAt[this] = time.Now()
+					tr.mu.Unlock()
 					c.release(this, 0)
 				}
 			}()
+		case has("close") && chance(0.03):
+			go func() {
+				time.Sleep(between(0, 400))
+				c.mu.Lock()
+				defer c.mu.Unlock()
+				if c.conn == nil {
+					return
+				}
+				e.rec.logf("%s closes its connection", c.name)
+				c.conn.Close()
+				c.conn = nil
+				tr.mu.Lock()
+				defer tr.mu.Unlock()
+				for _, o := range c.sessions {
+					if len(o.answers) == 0 {
+						o.gaveUp, tr.goneAt[o.id] = true, time.Now()
+					} else {
+						o.hungUp = true // its release may have nowhere to go
+					}
+				}
+			}()
 		case has("hangup") && chance(0.2):
 			go func() {
 				time.Sleep(between(300, 3000))
@@ -363,7 +392,7 @@
 			}
 		}
 		switch {
-		case len(s.answers) > 1:
+		case len(s.answers) > 1 && !s.gaveUp:
 			tr.violate("%016x has answers %v", v.id, s.answers)
 		case len(s.answers) == 0 && !s.gaveUp:
 			tr.violate("%016x has no answer", v.id)
@@ -377,7 +406,7 @@
 			if s.answers[0] == 503 && s.class == "induction" && ran > 0 {
 				tr.violate("paid %016x is refused after it ran", v.id)
 			}
-			if s.answers[0] == 200 {
+			if s.answers[0] == 200 && !s.gaveUp {
 				ok := false
 				for _, a := range tries {
 					ok = ok || a.answered && s.body == "made by "+a.node+" for "+fmt.Sprintf("%016x\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0\r\n", v.id)
--- a/review/standin/hang.go
+++ b/review/standin/hang.go
@@ -12,7 +12,7 @@
 // When it goes on it sends their releases. The viewers must get them within 1 s.
 func hang(e *env) error {
 	const hangs, length = 6 * time.Second, 7 * time.Second
-	hung, err := startNodeProcess("node s-000000a1", int(length.Milliseconds()), e.rec)
+	hung, err := startNodeProcess("node s-000000a1", int(length.Milliseconds()), nil, e.rec)
 	if err != nil {
 		return err
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,13 +28,13 @@
 func main() { os.Exit(run()) }
 
 func run() int {
-	if len(os.Args) == 4 && os.Args[1] == "node" {
+	if len(os.Args) == 5 && os.Args[1] == "node" {
 		length, err := strconv.Atoi(os.Args[3])
 		if err != nil {
 			fmt.Fprintln(os.Stderr, err)
 			return 2
 		}
-		return runNodeProcess(os.Args[2], length)
+		return runNodeProcess(os.Args[2], length, os.Args[4] == "true")
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: standin CASE FOLDER")
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -289,29 +289,6 @@
 
 func (o *socketOwner) address() string { return o.listener.Addr().String() }
 
-// handOver ends the present node by calling end and makes new connections those of another node, at once or after a gap in which the
-// address refuses connections.
-func (o *socketOwner) handOver(n *node, gap time.Duration, end func()) error {
-	o.mu.Lock()
-	o.node = n
-	o.mu.Unlock()
-	if gap == 0 {
-		end()
-		return nil
-	}
-	address := o.address()
-	o.listener.Close()
-	end()
-	time.Sleep(gap)
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return err
-	}
-	o.listener = l
-	go o.run(l)
-	return nil
-}
-
 // reset resets a connection; its open set-ups are given up. The caller holds the lock.
 func (n *node) reset(c *nodeConn) {
 	c.Conn.(*net.TCPConn).SetLinger(0)
--- a/review/standin/nodeproc.go
+++ b/review/standin/nodeproc.go
@@ -15,12 +15,19 @@
 )
 
 // runNodeProcess is a playout node as a process of its own. Its arguments are its name and the length of its sessions in
-// milliseconds. It writes its address and then its record to standard output, and ends with its standard input.
-func runNodeProcess(name string, sessionMs int) int {
+// milliseconds. It listens on the socket that it has inherited as descriptor 3, if inherits, or else on a free port. It writes its
+// address and then its record to standard output, and ends with its standard input. When it dies its connections are reset.
+func runNodeProcess(name string, sessionMs int, inherits bool) int {
 	rec := &record{file: os.Stdout, start: time.Now()}
 	n := newNode(name, rec, answerAfter(60*time.Millisecond, time.Duration(sessionMs)*time.Millisecond))
 	n.noteEach = 3 * time.Second
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	var l net.Listener
+	var err error
+	if inherits {
+		l, err = net.FileListener(os.NewFile(3, "socket"))
+	} else {
+		l, err = net.Listen("tcp", "127.0.0.1:0")
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return 2
@@ -33,6 +40,7 @@
 			if err != nil {
 				return
 			}
+			c.(*net.TCPConn).SetLinger(0)
 			n.accept(c)
 		}
 	}()
@@ -51,9 +59,13 @@
 	release map[uint64]time.Time // when it wrote that it releases a session
 }
 
-func startNodeProcess(name string, sessionMs int, rec *record) (*nodeProcess, error) {
-	p := &nodeProcess{name: name, cmd: exec.Command("/proc/self/exe", "node", name, strconv.Itoa(sessionMs)), done: make(chan struct{}), release: map[uint64]time.Time{}}
+// startNodeProcess starts a node, on a socket that it inherits unless that is nil.
+func startNodeProcess(name string, sessionMs int, socket *os.File, rec *record) (*nodeProcess, error) {
+	p := &nodeProcess{name: name, cmd: exec.Command("/proc/self/exe", "node", name, strconv.Itoa(sessionMs), strconv.FormatBool(socket != nil)), done: make(chan struct{}), release: map[uint64]time.Time{}}
 	p.cmd.Stderr = os.Stderr
+	if socket != nil {
+		p.cmd.ExtraFiles = []*os.File{socket}
+	}
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	stdin, err := p.cmd.StdinPipe()
 	if err != nil {
