--- a/review/standin/explore.go
+++ b/review/standin/explore.go
@@ -14,8 +14,10 @@
 
 func init() { cases["explore"] = explore }
 
-// explore plays a minute of random faults of many kinds and checks the rules on lost requests, on set-ups that happen twice and on
-// releases. It is no case: it helps to look for one. SEED and SECONDS change the draw and the length; KINDS names the faults.
+// explore plays random faults of many kinds and checks the rules on lost requests, on set-ups that happen twice and on releases. It is
+// no case: it helps to look for one. SEED and SECONDS set the draw and the length. KINDS lists the faults: full, moot, error, break,
+// mute, late, noise, reset, twice (of set-ups), idle, die, drain, hang, cut (of nodes), giveup, hangup, close (of viewers), hup, and
+// term, which is left out if KINDS is empty.
 
 // tried is one set-up of a session at a node.
 type tried struct {
@@ -203,11 +205,6 @@
 	if err != nil {
 		return err
 	}
-	defer func() {
-		log, _ := os.ReadFile(b.front.logFile)
-		os.WriteFile("/tmp/front-"+os.Getenv("SEED")+".log", log, 0o600)
-	}()
-	defer b.close()
 	var clients []*client
 	for i := range 6 {
 		c := newClient(fmt.Sprintf("client %d", i), b.front.address, e.rec)
@@ -329,7 +326,7 @@
 					s.gaveUp = true
 				}
 				c.mu.Unlock()
-				if s.gaveUp {
+				if s.gaveUp { // this may cross the answer
 					tr.mu.Lock()
 					tr.goneAt[this] = time.Now()
 					tr.mu.Unlock()
--- a/review/standin/fuzz.go
+++ b/review/standin/fuzz.go
@@ -79,8 +79,6 @@
 		}
 		time.Sleep(5 * time.Millisecond)
 		if !b.front.running() {
-			log, _ := os.ReadFile(b.front.logFile)
-			os.WriteFile("/tmp/fuzz-crash.log", log, 0o600)
 			return broken{"the front end has crashed"}
 		}
 	}
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -97,6 +97,7 @@
 	return &bed{f, ch}, nil
 }
 
+// close ends the front end. With KEEP_LOG in the environment its log is kept there.
 func (b *bed) close() {
 	b.front.kill()
 	if keep := os.Getenv("KEEP_LOG"); keep != "" {
