DASH front: a front at its limit of connections closes idle ones for new clients

While clients hold every connection of a front, silent or with refused requests without a pause, a new client gets neither an answer nor a close. Cause: netutil.LimitListener waits until a connection ends by itself: after 5 s if it is silent, 30 s if idle, never if it is in use. Change: frontend/connlimit.go closes a connection without a request in progress: those never answered first, then the one used the longest ago. It is own code, as the library has no eviction; x/net is no longer needed. Why it works: a connection is busy from the first byte of a request until its answer, under the lock that eviction takes. The tests failed with the listener of before: 'new client 0: read: i/o timeout' in both ways, 'the next client got no answer'. Result: they pass three times under the race detector; go test of frontend, wsapi, testbed, dash, session, cmd and client passes.

--- a/frontend/frontend.go
+++ b/frontend/frontend.go
@@ -13,7 +13,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/net/netutil"
 	"golang.org/x/sync/errgroup"
 
 	"gullrail/admission"
@@ -70,7 +69,8 @@
 	if err != nil {
 		return nil, fmt.Errorf("front %s: %w", settings.Name, err)
 	}
-	listener = netutil.LimitListener(listener, settings.MaxSockets)
+	limiter := newConnLimiter(listener, settings.MaxSockets)
+	listener = limiter
 	if cert != nil {
 		listener = tls.NewListener(listener, &tls.Config{GetCertificate: cert.get, MinVersion: tls.VersionTLS12, NextProtos: []string{"http/1.1"}})
 	}
@@ -120,7 +120,7 @@
 	mux.HandleFunc("GET /readyz", f.serveReady)
 	mux.HandleFunc("GET "+FleetPath, f.serveFleet)
 	mux.Handle("GET /metrics", f.metrics())
-	f.server = &http.Server{Handler: mux, ReadHeaderTimeout: session.Duration(admission.HeaderTimeout),
+	f.server = &http.Server{Handler: mux, ConnState: limiter.connState, ReadHeaderTimeout: session.Duration(admission.HeaderTimeout),
 		IdleTimeout: session.Duration(admission.IdleTimeout), MaxHeaderBytes: 16 << 10,
 		WriteTimeout: time.Duration(service.MaxDeadlineMs()*float64(time.Millisecond)) + session.Duration(admission.WriteTimeout)}
 	return f, nil
