--- a/frontend/connlimit.go
+++ b/frontend/connlimit.go
@@ -44,9 +44,7 @@
 
 // Accept waits for a connection, and for room for it.
 func (l *connLimiter) Accept() (net.Conn, error) {
-	if err := l.waitForRoom(); err != nil {
-		return nil, err
-	}
+	l.waitForRoom()
 	sock, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -60,11 +58,12 @@
 
 // Close closes the listener. It ends an Accept that waits for room.
 func (l *connLimiter) Close() error {
+	err := l.Listener.Close()
 	l.mu.Lock()
 	l.closed = true
 	l.mu.Unlock()
 	l.signal()
-	return l.Listener.Close()
+	return err
 }
 
 func (l *connLimiter) signal() {
@@ -74,32 +73,22 @@
 	}
 }
 
-// waitForRoom returns once the number of connections is below the limit.
-func (l *connLimiter) waitForRoom() error {
-	for {
-		room, closed, wait := l.makeRoom(time.Now())
-		if closed {
-			return net.ErrClosed
-		}
-		if room {
-			return nil
-		}
-		timer := time.NewTimer(wait)
+// waitForRoom returns once the number of connections is below the limit, or the listener is closed.
+func (l *connLimiter) waitForRoom() {
+	for !l.makeRoom(time.Now()) {
 		select {
 		case <-l.freed:
-		case <-timer.C:
+		case <-time.After(newConnGrace): // a new connection may be evictable by then
 		}
-		timer.Stop()
 	}
 }
 
-// makeRoom closes a connection if the limit is reached, and reports whether there is room now. If not, it also returns how long to
-// wait before the next attempt if nothing is signaled.
-func (l *connLimiter) makeRoom(now time.Time) (room, closed bool, wait time.Duration) {
+// makeRoom closes a connection if the limit is reached, and reports whether another one may be accepted.
+func (l *connLimiter) makeRoom(now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.closed || len(l.conns) < l.max {
-		return !l.closed, l.closed, 0
+		return true
 	}
 	var victim *limitedConn
 	for c := range l.conns {
@@ -108,12 +97,12 @@
 		}
 	}
 	if victim == nil {
-		return false, false, newConnGrace
+		return false
 	}
 	victim.evicted = true
 	delete(l.conns, victim)
 	victim.Conn.Close()
-	return true, false, 0
+	return true
 }
 
 // evictedBefore reports whether c is closed rather than o.
