--- a/review/standin2/bed.go
+++ b/review/standin2/bed.go
@@ -19,7 +19,7 @@
 	answerLate   = 500 * time.Millisecond // an answer this long after its time is not lost yet
 	drainGrace   = 500 * time.Millisecond
 	readyTimeout = 10 * time.Second
-	places       = 4 // cells; every title lies in all of them
+	copies       = 4 // cells that hold the title
 )
 
 // class is a class of sessions.
@@ -39,6 +39,7 @@
 	trouble  bool
 	memoryMB int
 	sockets  int
+	places   int // cells
 	settings map[string]any
 	channel  *channel
 	nodes    []*node
@@ -55,7 +56,7 @@
 }
 
 func newBed(record *os.File, folder string, trouble bool) *bed {
-	return &bed{trouble: trouble, memoryMB: 64, sockets: 256, settings: settings(), folder: folder, startedAt: time.Now(), record: record}
+	return &bed{trouble: trouble, memoryMB: 64, sockets: 256, places: copies, settings: settings(), folder: folder, startedAt: time.Now(), record: record}
 }
 
 // logf writes a line with the time since the start to the record.
@@ -75,7 +76,7 @@
 	return map[string]any{
 		"balancers": 1, "me": 0, "zone": "hall", "localities": []string{"hall"}, "shapes": []string{"dual-core"}, "service-type": "streams", "discovery": "pushed",
 		"stage": 0, "stages": []string{"media"}, "tick-ms": 10.0, "weight-kind": "silent", "lanes": lanes,
-		"family-info": map[string]any{"places": places, "shelves": 2, "kind-streams": []int{60}, "rung-kb": []float64{200, 400, 650, 1100, 1900},
+		"family-info": map[string]any{"places": copies, "shelves": 2, "kind-streams": []int{60}, "rung-kb": []float64{200, 400, 650, 1100, 1900},
 			"ladder-worth": []float64{0.2, 0.45, 0.65, 0.85, 1}, "rate-factor": []float64{1.2, 0.7}, "lowest-rung": []int{0, 0}, "highest-rung": []int{4, 4},
 			"seats": []int{0, 0}, "is-live": []bool{false, false}, "join-adds": 1.0, "refuses-from": 0.0, "reports-every-ms": 0.0, "see-ms": 900.0,
 			"links-kb": 400000.0, "rack-link-kb": 500000.0, "weight-kb": 100000.0, "stall-cost": 7.0, "switch-s": 0.6},
@@ -91,7 +92,7 @@
 func (b *bed) prepare(nodes int) (err error) {
 	var list []entry
 	for i := range nodes {
-		n, err := newNode(b, uint32(0xa1+i), i%places)
+		n, err := newNode(b, uint32(0xa1+i), i%b.places)
 		if err != nil {
 			return err
 		}
@@ -276,3 +277,9 @@
 	defer l.Close()
 	return l.Addr().String(), nil
 }
+
+// setPlaces sets the number of cells; the title lies in the first of them.
+func (b *bed) setPlaces(count int) {
+	b.places = count
+	b.settings["family-info"].(map[string]any)["places"] = count
+}
--- a/review/standin2/viewer.go
+++ b/review/standin2/viewer.go
@@ -75,7 +75,7 @@
 	body := fmt.Sprintf("%016x\r\nc=IN IP4 127.0.0.1\r\nm=audio 31000 RTP/AVP 0 8 101\r\n", id)
 	return fmt.Sprintf("SETUP rtsp://media/p-lesson RTSP/1.0\r\nCSeq: 1\r\nSession: %016x\r\nPriority-Class: %s\r\nExpires-Ms: %d\r\n"+
 		"P-Trunk-Info: home:0;copies:%d;top:4;viewer:%016x%s\r\nContent-Length: %d\r\n\r\n%s",
-		id, c.name, c.deadline.Milliseconds(), places, id*0x9e3779b97f4a7c15, at, len(body), body)
+		id, c.name, c.deadline.Milliseconds(), copies, id*0x9e3779b97f4a7c15, at, len(body), body)
 }
 
 // unknownSession returns a set-up of a bad client: its id is one that no playout node knows.
