--- a/review/standin2/twice.go
+++ b/review/standin2/twice.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -11,23 +12,28 @@
 
 const (
 	twiceCalm   = 5 * time.Second
-	resetPeriod = 6 * time.Second         // for which answers get lost and connections are reset
-	resetEvery  = 1500 * time.Millisecond // between two resets of the connections of one node, at least
-	twiceLength = 12 * time.Second        // of a session
-	giveUpTime  = time.Second             // for the front end to release a session at one node before it counts as out at two
+	resetPeriod = 6 * time.Second        // for which answers get lost and connections are reset
+	resetEvery  = 900 * time.Millisecond // between two nodes whose connections are reset
+	twiceLength = 12 * time.Second       // of a session
+	twiceAnswer = 200 * time.Millisecond
+	twiceEvery  = 40 * time.Millisecond // between two set-ups
+	giveUpTime  = time.Second           // for the front end to release a session at one node before it counts as out at two
 )
 
 // twice loses some answers of nodes and resets the connections to these nodes, and looks for sessions that stand at two nodes at once.
 func twice(b *bed) ([]string, error) {
-	if err := b.prepare(6); err != nil {
+	if err := b.prepare(10); err != nil {
 		return nil, err
 	}
 	from := time.Now().Add(time.Hour)
+	var mu sync.Mutex
+	var resetAt time.Time
 	for _, n := range b.nodes {
-		var resetAt time.Time
-		n.answerAfter, n.length = 60*time.Millisecond, twiceLength
+		n.answerAfter, n.length = twiceAnswer, twiceLength
 		n.loses = func(session uint64) bool {
 			now := time.Now()
+			mu.Lock()
+			defer mu.Unlock()
 			if !b.trouble || now.Before(from) || now.After(from.Add(resetPeriod)) || now.Sub(resetAt) < resetEvery || len(n.conns) < 2 {
 				return false
 			}
@@ -45,7 +51,7 @@
 	v := newViewers(b, "127.0.0.2")
 	for time.Since(began) < twiceCalm+resetPeriod+2*time.Second {
 		go v.setUp(free)
-		time.Sleep(usualEvery / 2)
+		time.Sleep(twiceEvery)
 	}
 	time.Sleep(twiceLength + time.Second)
 	return b.overlaps(), nil
