--- a/testbed/relaybed/bed.go
+++ b/testbed/relaybed/bed.go
@@ -18,6 +18,7 @@
 	cellCount     = 4
 	defaultMemory = 64  // MB
 	defaultSocket = 256 // descriptors
+	firstNodeID   = 0xa1
 )
 
 // Bed is a front end with its surroundings.
@@ -88,7 +89,7 @@
 // NewBed returns a bed without nodes; Start starts its front end.
 func NewBed(o Options) (*Bed, error) {
 	b := &Bed{MemoryMB: defaultMemory, Sockets: defaultSocket, seed: o.Seed, outcomes: o.Outcomes, random: rand.New(rand.NewPCG(o.Seed, 41)),
-		startedAt: time.Now(), nextNode: 0xa0}
+		startedAt: time.Now(), nextNode: firstNodeID - 1}
 	b.classes = []deploymentClass{{"induction", "non_idempotent", o.Paid, 3, 8}, {"briefing", "read_like", o.Free, 1, 0}}
 	b.settings = settings(b.classes, o.Notes, o.Idle)
 	b.audit = newAudit(b)
--- a/testbed/relaybed/load.go
+++ b/testbed/relaybed/load.go
@@ -17,18 +17,21 @@
 type badManners uint8
 
 const (
-	writesSlowly   badManners = iota // a large request, some bytes at a time
-	stopsHalfWay                     // half of a large request, then nothing
-	manyFields                       // a head of very many short fields
-	readsNothing                     // tests at full speed, and no answer is read
-	smallRequests                    // tests at full speed, with the answers read
-	unsoundRequest                   // requests without what a set-up needs, at full speed, with the answers read
-	newNames                         // sound set-ups at full speed, each under a new title, viewer and id, with the answers read
+	writesSlowly          badManners = iota // a large request, some bytes at a time
+	stopsHalfWay                            // half of a large request, then nothing
+	manyFields                              // a head of very many short fields
+	readsNothing                            // tests at full speed, and no answer is read
+	smallRequests                           // tests at full speed, with the answers read
+	unsoundRequest                          // requests without what a set-up needs, at full speed, with the answers read
+	newNames                                // sound set-ups at full speed, each under a new title, viewer and id, with the answers read
+	unknownSessions                         // hand-overs at full speed, each of a new session that no node knows, with the answers read
+	paddedUnknownSessions                   // the same with a large header
 	mannersCount
 )
 
 func (m badManners) String() string {
-	return [...]string{"writes slowly", "stops half way", "many fields", "reads nothing", "small requests", "unsound requests", "new names"}[m]
+	return [...]string{"writes slowly", "stops half way", "many fields", "reads nothing", "small requests", "unsound requests", "new names",
+		"unknown sessions", "padded unknown sessions"}[m]
 }
 
 // Misbehave lets clients misbehave on connections of their own for a time, and opens a connection anew where the front end closes it.
@@ -114,9 +117,21 @@
 		case newNames:
 			id := uint64(first+i) | floodIDs
 			text.WriteString(setUpText(&Session{ID: id, class: "briefing", title: fmt.Sprintf("new-%x", id), cellCount: 1, expires: floodExpires}, ""))
+		case unknownSessions, paddedUnknownSessions:
+			text.WriteString(unknownHandOver(uint64(first+i)|floodIDs, manners == paddedUnknownSessions))
 		default:
 			text.WriteString(testRequest)
 		}
 	}
 	return text.String()
 }
+
+// unknownHandOver returns a hand-over of a session that no node knows, at one of the bed's first nodes.
+func unknownHandOver(id uint64, padded bool) string {
+	s := &Session{ID: id, class: "briefing", title: fmt.Sprintf("new-%x", id), cellCount: 1, expires: floodExpires}
+	text := setUpText(s, nodeName(firstNodeID+uint32(id%cellCount)))
+	if padded {
+		text = strings.Replace(text, "CSeq: 1\r\n", "CSeq: 1\r\nX-Padding: "+strings.Repeat("x", largestRequest/2)+"\r\n", 1)
+	}
+	return text
+}
