Relay: sessions that no node knows end once their client is gone

Cause: the policy counts each session that was handed over as use of its node's links, and only the node's release takes it off. A client with another connection keeps them. It works because a viewer with a standing session keeps a connection, and one without any could not be told of an end either.

--- a/admission/handover.go
+++ b/admission/handover.go
@@ -24,6 +24,7 @@
 	unconfirmed []*HandOver[C, S]
 	size        int           // bytes of the unconfirmed sessions
 	departure   *list.Element // in HandOvers.departed; nil while the client is connected
+	departedAt  int64
 }
 
 // HandOvers bounds the memory of the sessions that clients hand over. When a further one does not fit, an unconfirmed session has to end:
@@ -124,12 +125,27 @@
 }
 
 // ClientDeparted records that a client's connection has closed. Its sessions go on, but are the first to end when room is needed.
-func (t *HandOvers[C, S]) ClientDeparted(client C) {
+func (t *HandOvers[C, S]) ClientDeparted(now int64, client C) {
 	if c := t.clients[client]; c != nil && c.departure == nil {
 		c.departure = t.departed.PushBack(c)
+		c.departedAt = now
 	}
 }
 
+// DepartedBefore returns the clients that departed before a time and have unconfirmed sessions, the first to depart first.
+func (t *HandOvers[C, S]) DepartedBefore(time int64) (clients []C) {
+	for e := t.departed.Front(); e != nil; e = e.Next() {
+		c := e.Value.(*handOverClient[C, S])
+		if c.departedAt >= time {
+			break
+		}
+		if len(c.unconfirmed) > 0 {
+			clients = append(clients, c.key)
+		}
+	}
+	return clients
+}
+
 // Unconfirmed returns the unconfirmed sessions of a client.
 func (t *HandOvers[C, S]) Unconfirmed(client C) (sessions []S) {
 	if c := t.clients[client]; c != nil {
