Test bed of the relay: fillers of a backlog are no connections of a node's process

Trace with a line for each accept: while a machine is unreachable the bed fills its backlog with connections of its own; as it goes on, the process accepted one of these, repeated ten releases there and forgot them ('repeats 101f to 127.0.0.1:52124: broken pipe', 52124 being a filler). No front end could have read them. Change: fillers are reset when they are accepted; a client enters a set-up under its lock, on a connection that it has not closed.

--- a/testbed/relaybed/audit.go
+++ b/testbed/relaybed/audit.go
@@ -129,6 +129,13 @@
 	a.records[s.ID] = &record{Session: s}
 }
 
+// forget removes a session whose set-up could not be sent, as no connection came up.
+func (a *Audit) forget(id uint64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.records, id)
+}
+
 // update changes a session under the audit's lock.
 func (a *Audit) update(id uint64, f func(r *record)) {
 	a.mu.Lock()
--- a/testbed/relaybed/client.go
+++ b/testbed/relaybed/client.go
@@ -97,18 +97,31 @@
 // SetUp sends a set-up, in several pieces if asked to. A front end that refuses the connection has not taken it.
 func (c *Client) SetUp(s *Session, pieces bool) (*clientConn, error) {
 	s.host = c.host
-	conn, err := c.openConn()
-	if err != nil {
-		return nil, err
-	}
 	c.bed.audit.add(s)
-	c.mu.Lock()
-	conn.waiting[s.ID], conn.standing[s.ID] = s, true
-	c.mu.Unlock()
+	var conn *clientConn
+	for entered := false; !entered; {
+		var err error
+		if conn, err = c.openConn(); err != nil {
+			c.bed.audit.forget(s.ID)
+			return nil, err
+		}
+		entered = conn.enter(s)
+	}
 	c.bed.logf("%s sends set-up %016x of class %s, %v, from %s", c.host, s.ID, s.class, s.expires, conn.sock.LocalAddr())
 	return conn, conn.sendSetUp(s, pieces)
 }
 
+// enter enters a set-up on the connection and reports whether it did: the client may have closed the connection meanwhile.
+func (conn *clientConn) enter(s *Session) bool {
+	conn.client.mu.Lock()
+	defer conn.client.mu.Unlock()
+	if conn.closed {
+		return false
+	}
+	conn.waiting[s.ID], conn.standing[s.ID] = s, true
+	return true
+}
+
 func (conn *clientConn) sendSetUp(s *Session, pieces bool) error {
 	text := setUpText(s, "")
 	conn.writing.Lock()
--- a/testbed/relaybed/machine.go
+++ b/testbed/relaybed/machine.go
@@ -21,9 +21,10 @@
 	listener  *net.TCPListener
 	process   *Process
 	paused    bool
-	resume    chan struct{} // closed once accepting goes on
-	fillers   []net.Conn    // connections that fill the backlog while the machine is unreachable
-	closeFor  time.Duration // connections are closed at once until closeFrom+closeFor
+	resume    chan struct{}   // closed once accepting goes on
+	fillers   []net.Conn      // connections that fill the backlog while the machine is unreachable
+	fillerAt  map[string]bool // addresses of fillers that are not accepted yet; no process sees these connections
+	closeFor  time.Duration   // connections are closed at once until closeFrom+closeFor
 	closeFrom time.Time
 }
 
@@ -33,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	m := &Machine{Address: l.Addr().String(), listener: l.(*net.TCPListener), resume: make(chan struct{})}
+	m := &Machine{Address: l.Addr().String(), listener: l.(*net.TCPListener), resume: make(chan struct{}), fillerAt: map[string]bool{}}
 	go m.acceptLoop(m.listener)
 	return m, nil
 }
@@ -58,6 +59,10 @@
 		m.mu.Lock()
 		paused, resume, current := m.paused, m.resume, m.listener == l
 		process, closeNow := m.process, time.Since(m.closeFrom) < m.closeFor
+		filler := err == nil && m.fillerAt[sock.RemoteAddr().String()]
+		if filler {
+			delete(m.fillerAt, sock.RemoteAddr().String())
+		}
 		m.mu.Unlock()
 		switch {
 		case !current && err == nil:
@@ -67,7 +72,7 @@
 			<-resume
 		case err != nil:
 			return
-		case closeNow || process == nil:
+		case filler || closeNow || process == nil:
 			reset(sock)
 		default:
 			process.accept(sock)
@@ -117,6 +122,7 @@
 		}
 		m.mu.Lock()
 		m.fillers = append(m.fillers, c)
+		m.fillerAt[c.LocalAddr().String()] = true
 		m.mu.Unlock()
 	}
 }
